--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# geraniumpin: what a newcomer types. See README.md.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+PACKAGES = g++ cmake ninja-build ccache pkg-config make clang-format clang-tidy \
+  libh2o-evloop-dev libzmq3-dev cppzmq-dev libprotobuf-dev libcli11-dev libgoogle-glog-dev \
+  libexpected-dev nlohmann-json3-dev libvalijson-dev libboost-dev libboost-test-dev libssl-dev \
+  libxxhash-dev liblua5.4-dev zlib1g-dev
+
+.PHONY: setup build demo test bench format lint check-core clean
+
+setup:
+	@if dpkg -s $(PACKAGES) >/dev/null 2>&1; then true; else \
+	  apt-get update -q && DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
+	  --no-install-recommends $(PACKAGES); fi
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@ninja -C $(BUILD) -j $(JOBS)
+
+demo: build
+	@$(BUILD)/tests/scenario-runner --programs $(BUILD) --library tests/scenarios examples/demo.lua
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+bench: build
+	@$(BUILD)/tests/bench-core
+	@$(BUILD)/tests/scenario-runner --programs $(BUILD) --library tests/scenarios \
+	  tests/scenarios/bench.lua
+
+SOURCES = $(shell git ls-files '*.hpp' '*.cpp' | grep -v /generated/)
+
+format: setup
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	@git ls-files '*.cpp' | xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
+
+check-core:
+	@if grep -rnE '#include [<"](h2o|zmq|google/protobuf|glog|nlohmann|.*[.]pb[.]h|.*adapters/)' \
+	  include src/request src/connection src/version src/process; then \
+	  echo "core files must not include transports or encoders"; exit 1; fi
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/cli/commands.cpp
@@ -0,0 +1,354 @@
+#include "commands.hpp"
+
+#include "../src/adapters/connection/http_client.hpp"
+#include "../src/adapters/connection/platform_client.hpp"
+#include "../src/adapters/process/settings_json.hpp"
+#include "../src/adapters/process/system_clock.hpp"
+#include "../src/adapters/version/document_json.hpp"
+
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <vector>
+
+namespace geraniumpin::cli {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kSilence{ 1000 };
+constexpr std::chrono::milliseconds kWatchPause{ 100 };
+constexpr std::size_t kMostBytes = 16U << 20U;
+constexpr std::size_t kMostConcurrent = 256;
+
+/// \brief What a node answered; nothing if it did not.
+struct NodeReport
+{
+  ListedVm vm_;
+  std::optional<json> status_;
+};
+
+/// \brief Asks the platform and the nodes, waiting for the answers.
+class MeshReader
+{
+public:
+  MeshReader()
+    : client_(loop_, { kSilence, kMostBytes, 1 })
+  {
+  }
+
+  std::optional<std::string> Get(const std::string& aAddress,
+                                 const std::string& aPath,
+                                 const HeaderFields& aHeaders = {})
+  {
+    const auto address = NodeAddress::Parse(aAddress);
+    if (!address) {
+      return std::nullopt;
+    }
+    bool done = false;
+    std::optional<std::string> body;
+    Start(*address, aPath, aHeaders, [&](std::optional<std::string> aBody) {
+      body = std::move(aBody);
+      done = true;
+    });
+    while (!done) {
+      loop_.RunOnce(clock_.Now() + kSilence);
+    }
+    return body;
+  }
+
+  std::optional<VmList> Vms(const std::string& aPlatform)
+  {
+    const auto text = Get(aPlatform, "/v1/vms?after=0");
+    return text ? ParseVmList(*text) : std::nullopt;
+  }
+
+  std::vector<NodeReport> Statuses(const VmList& aList)
+  {
+    std::vector<NodeReport> reports;
+    for (const auto& vm : aList.vms_) {
+      reports.push_back({ vm, std::nullopt });
+    }
+    std::size_t started = 0;
+    std::size_t ended = 0;
+    while (ended < reports.size()) {
+      for (; started < reports.size() && started - ended < kMostConcurrent; ++started) {
+        auto& report = reports[started];
+        Start(report.vm_.admin_, "/status", {}, [&](const std::optional<std::string>& aBody) {
+          ++ended;
+          auto status = json::parse(aBody.value_or(""), nullptr, false);
+          if (status.is_object()) {
+            report.status_ = std::move(status);
+          }
+        });
+      }
+      loop_.RunOnce(clock_.Now() + kWatchPause);
+    }
+    return reports;
+  }
+
+  void Pause(std::chrono::milliseconds aTime)
+  {
+    const auto end = clock_.Now() + aTime;
+    while (clock_.Now() < end) {
+      loop_.RunOnce(end);
+    }
+  }
+
+  [[nodiscard]] TimePoint Now() const { return clock_.Now(); }
+
+private:
+  void Start(const NodeAddress& aAddress,
+             const std::string& aPath,
+             const HeaderFields& aHeaders,
+             std::function<void(std::optional<std::string>)> aDone)
+  {
+    const HttpRequest request{
+      .method_ = "GET", .path_ = aPath, .headers_ = aHeaders, .body_ = {}
+    };
+    client_.Start(aAddress, request, [done = std::move(aDone)](const HttpResult& aResult) {
+      const bool good = aResult.end_ == HttpEnd::Complete && aResult.response_.status_ == 200;
+      done(good ? std::optional(*aResult.response_.body_) : std::nullopt);
+    });
+  }
+
+  SystemClock clock_;
+  EventLoop loop_;
+  HttpClient client_;
+};
+
+json
+ToJson(const NodeReport& aReport)
+{
+  if (aReport.status_) {
+    return *aReport.status_;
+  }
+  return { { "node", aReport.vm_.node_.Text() },
+           { "failure_domain", aReport.vm_.failureDomain_ },
+           { "state", "no_answer" } };
+}
+
+void
+PrintStatus(const NodeReport& aReport)
+{
+  std::cout << std::left << std::setw(22) << aReport.vm_.node_.Text() << std::setw(12)
+            << aReport.vm_.failureDomain_;
+  if (!aReport.status_) {
+    std::cout << "no answer\n";
+    return;
+  }
+  const auto& status = *aReport.status_;
+  std::cout << "version " << std::setw(8) << status.value("version", 0) << std::setw(18)
+            << status.value("state", "") << "incarnation "
+            << status.value("incarnation", std::uint64_t{ 0 }) << "\n";
+}
+
+std::uint64_t
+VersionOf(const NodeReport& aReport)
+{
+  return aReport.status_ ? aReport.status_->value("version", std::uint64_t{ 0 }) : 0;
+}
+
+int
+PrintNoAnswer(const std::string& aWho)
+{
+  std::cerr << aWho << ": no answer\n";
+  return kExitNoAnswer;
+}
+
+/// Encodes a path as the value of a query parameter.
+std::string
+PercentEncode(const std::string& aText)
+{
+  std::ostringstream encoded;
+  encoded << std::hex << std::uppercase << std::setfill('0');
+  for (const unsigned char character : aText) {
+    if (std::isalnum(character) != 0 || character == '/' || character == '-') {
+      encoded << character;
+    } else {
+      encoded << '%' << std::setw(2) << static_cast<int>(character);
+    }
+  }
+  return encoded.str();
+}
+
+/// \brief One look at the mesh while a version takes hold.
+struct Progress
+{
+  std::vector<std::string> lagging_;
+  std::size_t inForce_ = 0;
+};
+
+Progress
+Look(MeshReader& aReader, const VmList& aList, std::uint64_t aVersion)
+{
+  Progress progress;
+  for (const auto& report : aReader.Statuses(aList)) {
+    if (VersionOf(report) >= aVersion) {
+      ++progress.inForce_;
+    } else {
+      progress.lagging_.push_back(report.vm_.node_.Text());
+    }
+  }
+  return progress;
+}
+
+void
+PrintProgress(const Options& aOptions, const Progress& aProgress, std::int64_t aElapsedMs)
+{
+  if (aOptions.json_) {
+    std::cout << json{
+      { "version", aOptions.version_ },
+      { "in_force", aProgress.inForce_ },
+      { "lagging", aProgress.lagging_ },
+      { "elapsed_ms", aElapsedMs }
+    }.dump() << "\n";
+    return;
+  }
+  std::cout << "version " << aOptions.version_ << " in force on " << aProgress.inForce_ << " of "
+            << aProgress.inForce_ + aProgress.lagging_.size() << " nodes after " << aElapsedMs
+            << " ms\n";
+  for (const auto& node : aProgress.lagging_) {
+    std::cout << "  lagging: " << node << "\n";
+  }
+}
+
+} // namespace
+
+int
+Validate(const Options& aOptions)
+{
+  const auto text = ReadFile(aOptions.document_);
+  if (!text) {
+    std::cerr << aOptions.document_ << ": cannot be read\n";
+    return kExitBadInput;
+  }
+  const auto encoded = EncodeDocument(aOptions.document_, *text);
+  json faults = json::array();
+  if (!encoded) {
+    for (const auto& fault : encoded.error()) {
+      faults.push_back({ { "path", fault.path_ },
+                         { "line", fault.position_.line_ },
+                         { "column", fault.position_.column_ },
+                         { "description", fault.description_ },
+                         { "found", fault.found_ } });
+      if (!aOptions.json_) {
+        std::cout << ToString(fault) << "\n";
+      }
+    }
+  }
+  if (aOptions.json_) {
+    std::cout << json{ { "valid", encoded.has_value() }, { "faults", faults } }.dump() << "\n";
+  } else if (encoded) {
+    std::cout << aOptions.document_ << ": valid, version " << encoded->manifest_.number_ << ", "
+              << encoded->parts_.size() << " parts\n";
+  }
+  return encoded ? kExitGood : kExitBadInput;
+}
+
+int
+Status(const Options& aOptions)
+{
+  MeshReader reader;
+  const auto list = reader.Vms(aOptions.platform_);
+  if (!list) {
+    return PrintNoAnswer("platform " + aOptions.platform_);
+  }
+  json all = json::array();
+  bool complete = true;
+  for (const auto& report : reader.Statuses(*list)) {
+    complete = complete && report.status_.has_value();
+    all.push_back(ToJson(report));
+    if (!aOptions.json_) {
+      PrintStatus(report);
+    }
+  }
+  if (aOptions.json_) {
+    std::cout << all.dump() << "\n";
+  }
+  return complete ? kExitGood : kExitNotAsAsked;
+}
+
+int
+Watch(const Options& aOptions)
+{
+  MeshReader reader;
+  const auto list = reader.Vms(aOptions.platform_);
+  if (!list) {
+    return PrintNoAnswer("platform " + aOptions.platform_);
+  }
+  const auto startedAt = reader.Now();
+  while (true) {
+    const auto progress = Look(reader, *list, aOptions.version_);
+    const auto elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(reader.Now() - startedAt);
+    const bool late = elapsed.count() >= aOptions.deadlineMs_;
+    if (progress.lagging_.empty() || late) {
+      PrintProgress(aOptions, progress, elapsed.count());
+      return progress.lagging_.empty() ? kExitGood : kExitNotAsAsked;
+    }
+    reader.Pause(kWatchPause);
+  }
+}
+
+int
+Explain(const Options& aOptions)
+{
+  MeshReader reader;
+  HeaderFields headers;
+  if (!aOptions.key_.empty()) {
+    headers.push_back({ "x-api-key", aOptions.key_ });
+  }
+  const auto text =
+    reader.Get(aOptions.admin_,
+               "/explain?method=" + aOptions.method_ + "&path=" + PercentEncode(aOptions.path_),
+               headers);
+  if (!text) {
+    return PrintNoAnswer("node " + aOptions.admin_);
+  }
+  const auto answer = json::parse(*text);
+  if (aOptions.json_) {
+    std::cout << answer.dump() << "\n";
+  } else if (answer.contains("refused")) {
+    std::cout << "refused as not run: " << answer.at("refused").get<std::string>() << "\n";
+  } else {
+    std::cout << "version " << answer.at("version") << ", route " << answer.at("route") << ", team "
+              << answer.at("team") << ", service " << answer.at("service") << "\n";
+    for (const auto& candidate : answer.at("candidates")) {
+      std::cout << "  " << candidate.at("backend_server").get<std::string>()
+                << (candidate.at("local").get<bool>() ? " local" : " remote") << ", load "
+                << candidate.at("load") << "\n";
+    }
+    std::cout << "chosen: " << answer.at("chosen").get<std::string>()
+              << " (the less loaded of two candidates drawn at random)\n";
+  }
+  return answer.contains("refused") ? kExitNotAsAsked : kExitGood;
+}
+
+int
+ShowMetrics(const Options& aOptions)
+{
+  MeshReader reader;
+  const auto text = reader.Get(aOptions.admin_, "/metrics");
+  if (!text) {
+    return PrintNoAnswer("node " + aOptions.admin_);
+  }
+  const auto metrics = json::parse(*text);
+  if (aOptions.json_) {
+    std::cout << metrics.dump() << "\n";
+    return kExitGood;
+  }
+  for (const auto* group : { "counters", "transport" }) {
+    for (const auto& [name, value] : metrics.at(group).items()) {
+      std::cout << std::left << std::setw(36) << name << value << "\n";
+    }
+  }
+  for (const auto& [name, summary] : metrics.at("durations_ms").items()) {
+    std::cout << std::left << std::setw(36) << name << summary.dump() << "\n";
+  }
+  return kExitGood;
+}
+
+} // namespace geraniumpin::cli
--- /dev/null
+++ b/cli/commands.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace geraniumpin::cli {
+
+/// \brief What the command line asks for.
+struct Options
+{
+  bool json_ = false;
+  std::string document_;
+  std::string platform_;
+  std::string admin_;
+  std::uint64_t version_ = 0;
+  std::uint32_t deadlineMs_ = 8000;
+  std::string method_ = "GET";
+  std::string path_;
+  std::string key_;
+};
+
+inline constexpr int kExitGood = 0;
+inline constexpr int kExitNotAsAsked = 1;
+inline constexpr int kExitBadInput = 2;
+inline constexpr int kExitNoAnswer = 3;
+
+/// \brief Checks a document and prints each fault with its position.
+[[nodiscard]] int
+Validate(const Options& aOptions);
+
+/// \brief Prints version, incarnation and state of each node that the platform lists.
+[[nodiscard]] int
+Status(const Options& aOptions);
+
+/// \brief Waits until every listed node runs at least the version; names those that lag.
+[[nodiscard]] int
+Watch(const Options& aOptions);
+
+/// \brief Prints which route, team and instance a request would get.
+[[nodiscard]] int
+Explain(const Options& aOptions);
+
+/// \brief Prints the metrics of one node.
+[[nodiscard]] int
+ShowMetrics(const Options& aOptions);
+
+} // namespace geraniumpin::cli
--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,54 @@
+/// \brief geraniumpinctl: the operators' command line.
+
+#include "commands.hpp"
+
+#include <CLI/CLI.hpp>
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace geraniumpin::cli;
+
+  CLI::App app("geraniumpinctl: check documents and look at a geraniumpin mesh\n"
+               "exit codes: 0 good, 1 not as asked, 2 bad input, 3 nobody answered");
+  app.set_version_flag("--version", std::string("geraniumpinctl ") + GERANIUMPIN_VERSION);
+  app.require_subcommand(1);
+  Options options;
+  app.add_flag("--json", options.json_, "print JSON");
+  app.fallthrough();
+
+  auto* validate = app.add_subcommand("validate", "check a document");
+  validate->add_option("document", options.document_, "document file (JSON)")->required();
+
+  const auto addPlatform = [&](CLI::App* aCommand) {
+    aCommand->add_option("--platform", options.platform_, "platform address IP:PORT")->required();
+  };
+  auto* status = app.add_subcommand("status", "show version, incarnation and state of each node");
+  addPlatform(status);
+
+  auto* watch = app.add_subcommand("watch", "wait until a version is in force on every node");
+  addPlatform(watch);
+  watch->add_option("version", options.version_, "version number")->required();
+  watch->add_option("--deadline-ms", options.deadlineMs_, "longest wait in milliseconds");
+
+  auto* explain = app.add_subcommand("explain", "show how a node would route a request");
+  explain->add_option("--node", options.admin_, "admin address of the node IP:PORT")->required();
+  explain->add_option("--method", options.method_, "request method");
+  explain->add_option("path", options.path_, "request path")->required();
+  explain->add_option("--key", options.key_, "key of the caller");
+
+  auto* metrics = app.add_subcommand("metrics", "show the metrics of a node");
+  metrics->add_option("--node", options.admin_, "admin address of the node IP:PORT")->required();
+
+  CLI11_PARSE(app, aCount, aArguments);
+  if (validate->parsed()) {
+    return Validate(options);
+  }
+  if (status->parsed()) {
+    return Status(options);
+  }
+  if (watch->parsed()) {
+    return Watch(options);
+  }
+  return explain->parsed() ? Explain(options) : ShowMetrics(options);
+}
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,46 @@
+/// \brief geraniumpind: the node that runs beside each backend server.
+
+#include "../src/adapters/process/glog_log.hpp"
+#include "../src/adapters/process/node_process.hpp"
+#include "../src/adapters/process/settings_json.hpp"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("geraniumpind: a node of the geraniumpin mesh");
+  std::string path;
+  bool checkOnly = false;
+  app.add_option("--config", path, "settings file (JSON)")->required();
+  app.add_flag("--check", checkOnly, "check the settings and exit: 0 good, 2 bad");
+  app.set_version_flag("--version", std::string("geraniumpind ") + GERANIUMPIN_VERSION);
+  CLI11_PARSE(app, aCount, aArguments);
+
+  const auto text = geraniumpin::ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": cannot be read\n";
+    return kExitBadSettings;
+  }
+  const auto settings = geraniumpin::ParseSettings(path, *text);
+  if (!settings) {
+    for (const auto& fault : settings.error()) {
+      std::cerr << geraniumpin::ToString(fault) << "\n";
+    }
+    return kExitBadSettings;
+  }
+  if (checkOnly) {
+    std::cout << path << ": good\n";
+    return 0;
+  }
+  geraniumpin::StartLogging(aArguments[0]);
+  geraniumpin::NodeProcess process(*settings);
+  return process.Run();
+}
--- /dev/null
+++ b/examples/demo.lua
@@ -0,0 +1,71 @@
+-- The demo: a mesh of 3 failure domains with 2 VMs each, on loopback.
+-- Run it with `make demo`; it ends everything that it started and fails if anything surprises.
+
+dofile(LIBRARY .. "/mesh.lua")
+
+local mesh = new_mesh{ base = 1 }
+local entry = mesh:vm("vm-1-1")
+
+local function show(title, response, expected_outcome, expected_reason)
+  print(string.format("  %-46s %d %s%s%s", title, response.status, tostring(response.outcome),
+                      response.reason and (" (" .. response.reason .. ")") or "",
+                      response.server and (", answered by " .. response.server) or ""))
+  check(response.outcome == expected_outcome, title .. ": expected " .. expected_outcome)
+  check(response.reason == expected_reason, title .. ": unexpected reason")
+end
+
+print("starting a platform stand-in and 6 VMs, each with a node and a backend server stand-in")
+print("  all nodes serve after " .. mesh:start() .. " ms")
+
+print("calls under version 1")
+for i = 1, 3 do
+  show("GET /arquivo/slab-" .. i .. " with a key",
+       mesh:call(entry, "clinica", "GET", "/arquivo/slab-" .. i), "answered")
+end
+show("POST /laudos/ with a key", mesh:call(entry, "obra", "POST", "/laudos/", {}, "load report"),
+     "answered")
+show("GET /public/ without a key", mesh:call(entry, nil, "GET", "/public/tables"), "answered")
+
+print("refusals")
+show("GET /arquivo/ without a key", mesh:call(entry, nil, "GET", "/arquivo/x"), "not_run",
+     "key_missing")
+show("GET /arquivo/ with a wrong key", mesh:call(entry, "wrong", "GET", "/arquivo/x"), "not_run",
+     "key_unknown")
+show("GET /nowhere", mesh:call(entry, "clinica", "GET", "/nowhere"), "not_run", "no_route")
+show("POST with a body beyond the cap",
+     mesh:call(entry, "obra", "POST", "/laudos/", {}, string.rep("x", 1048577)), "not_run",
+     "body_too_large")
+
+print("version 2 withdraws the key of team obra and takes zone-3 out of service")
+local document = mesh:make_document()
+for i, key in ipairs(document.keys) do
+  if key.team == "obra" then
+    table.remove(document.keys, i)
+  end
+end
+document.failure_domains[3].in_service = false
+mesh:publish(document)
+spawn("watch", { "geraniumpinctl", "watch", "2", "--platform", mesh.platform })
+check(wait_exit("watch", 10000) == 0, "version 2 is not in force everywhere")
+print("  geraniumpinctl: " .. read_file(LOGS .. "/watch.log"):gsub("\n", ""))
+show("POST /laudos/ with the withdrawn key", mesh:call(entry, "obra", "POST", "/laudos/"),
+     "not_run", "key_unknown")
+local before = mesh:record(mesh:vm("vm-3-1")).runs
+for i = 1, 30 do
+  local response = mesh:call(mesh:vm("vm-3-1"), "clinica", "GET", "/arquivo/again-" .. i)
+  check(response.outcome == "answered", "a call through zone-3 was not answered")
+end
+check(mesh:record(mesh:vm("vm-3-1")).runs == before, "zone-3 got new work")
+print("  30 calls entering in zone-3 ran elsewhere")
+
+print("no backend server saw a key")
+for _, vm in ipairs(mesh.vms) do
+  for _, name in ipairs(mesh:record(vm).headers_seen) do
+    check(name ~= "x-api-key" and name ~= "authorization", "a key reached " .. vm.server)
+  end
+end
+
+print("stopping node vm-1-1 by SIGTERM")
+signal("vm-1-1", "TERM")
+check(wait_exit("vm-1-1", 15000) == 0, "the node did not stop cleanly")
+print("demo passed")
--- /dev/null
+++ b/include/geraniumpin/connection/backend_connection.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "geraniumpin/request/call.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace geraniumpin {
+
+/// \brief Names one attempt of a request.
+struct AttemptId
+{
+  CallId call_;
+  std::uint32_t attempt_ = 0;
+
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+/// \brief A request as the backend server gets it: without any key.
+struct BackendRequest
+{
+  const AttemptId id_;
+  const std::string method_;
+  const std::string path_;
+  const HeaderFields headers_;
+  const Body body_;
+  const std::string callToken_; ///< lets the backend server call on for the same team
+  const Duration remaining_{};  ///< time until the deadline
+};
+
+/// \brief How an exchange with the backend server ended.
+enum class BackendResult
+{
+  Answered,
+  Shed,          ///< it refused before it started the work
+  ConnectFailed, ///< the request was not sent
+  Broken         ///< the connection ended after the request was sent
+};
+
+/// \brief The end of an exchange, with the answer if it is whole.
+struct BackendEnd
+{
+  const AttemptId id_;
+  const BackendResult result_ = BackendResult::Broken;
+  const int status_ = 0;
+  const HeaderFields headers_;
+  const Body body_;
+};
+
+/// \brief Exchanges requests with the backend server of this VM.
+template<class B>
+concept BackendPort = requires(B& aPort, const BackendRequest& aRequest, const AttemptId& aId)
+{
+  aPort.Start(aRequest);
+  aPort.Cancel(aId);
+};
+
+/// \brief Hands answers back to callers.
+template<class P>
+concept CallerPort = requires(P& aPort, const CallId& aId, const Answer& aAnswer)
+{
+  aPort.Reply(aId, aAnswer);
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/admission.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "geraniumpin/process/concurrency_controller.hpp"
+#include "geraniumpin/process/fair_queue.hpp"
+#include "geraniumpin/request/instance_choice.hpp"
+#include "geraniumpin/request/outcome.hpp"
+
+#include <cmath>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief Whether an offered request starts now or waits.
+enum class Admitted
+{
+  Start,
+  Queued
+};
+
+/// \brief What to do after work ended or time passed.
+template<class Ticket>
+struct AdmissionActions
+{
+  const std::vector<Ticket> start_;
+  const std::vector<Ticket> expired_; ///< did not run: their deadline came while they waited
+};
+
+/// \brief Decides how many requests of which team the backend server of this VM runs at once.
+///
+/// \tparam Ticket Names a request.
+/// \tparam Controller Adapts the concurrency limit.
+template<class Ticket, ConcurrencyController Controller = AimdController>
+class Admission
+{
+public:
+  static constexpr std::size_t kMostQueuedPerTeam = 32;
+
+  /// \param aSlots Requests that the backend server bears when warm.
+  explicit Admission(std::uint32_t aSlots)
+    : controller_(Controller{}.WithCeiling(aSlots))
+    , queue_(kMostQueuedPerTeam)
+  {
+  }
+
+  void SetSlots(std::uint32_t aSlots) { controller_ = controller_.WithCeiling(aSlots); }
+
+  /// \brief Starts, queues or refuses a request.
+  /// \returns The reason of the refusal if it would miss its deadline or the queue is full.
+  [[nodiscard]] tl::expected<Admitted, Reason> Offer(const QueuedWork<Ticket>& aWork,
+                                                     TimePoint aNow)
+  {
+    if (queue_.Size() == 0 && HasRoom()) {
+      ++inFlight_;
+      return Admitted::Start;
+    }
+    if (aNow + ExpectedWait() + aWork.cost_ > aWork.deadline_) {
+      return tl::make_unexpected(Reason::DeadlinePassed);
+    }
+    if (!queue_.Push(aWork)) {
+      return tl::make_unexpected(Reason::Overloaded);
+    }
+    return Admitted::Queued;
+  }
+
+  /// \brief Takes in the end of a request that was started.
+  [[nodiscard]] AdmissionActions<Ticket> OnEnd(WorkResult aResult,
+                                               TimePoint aStartedAt,
+                                               TimePoint aNow)
+  {
+    controller_ = controller_.After({ aResult, aStartedAt, aNow, inFlight_ });
+    --inFlight_;
+    if (aResult == WorkResult::Success) {
+      const auto sample = aNow - aStartedAt;
+      serviceTime_ = serviceTime_ == Duration{} ? sample : (serviceTime_ * 7 + sample) / 8;
+    }
+    return Advance(aNow);
+  }
+
+  /// \brief Ends waiting requests whose deadline came, and starts others where there is room.
+  [[nodiscard]] AdmissionActions<Ticket> Advance(TimePoint aNow)
+  {
+    auto expired = queue_.RemoveExpired(aNow);
+    std::vector<Ticket> start;
+    while (HasRoom()) {
+      auto work = queue_.Pop();
+      if (!work) {
+        break;
+      }
+      ++inFlight_;
+      start.push_back(std::move(work->ticket_));
+    }
+    return { .start_ = std::move(start), .expired_ = std::move(expired) };
+  }
+
+  /// \returns Whether the request was waiting.
+  bool RemoveQueued(const Ticket& aTicket) { return queue_.Remove(aTicket); }
+
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const { return queue_.NextDeadline(); }
+  [[nodiscard]] std::uint32_t InFlight() const noexcept { return inFlight_; }
+  [[nodiscard]] std::size_t Queued() const noexcept { return queue_.Size(); }
+  [[nodiscard]] double Limit() const noexcept { return controller_.Limit(); }
+  [[nodiscard]] Duration ServiceTime() const noexcept { return serviceTime_; }
+
+  /// \brief Running and queued requests as a share of the concurrency limit.
+  [[nodiscard]] double Load() const noexcept
+  {
+    return (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
+  }
+
+private:
+  [[nodiscard]] bool HasRoom() const noexcept
+  {
+    return inFlight_ < std::floor(controller_.Limit());
+  }
+
+  [[nodiscard]] Duration ExpectedWait() const
+  {
+    const double rounds = (static_cast<double>(queue_.Size()) + 1) / controller_.Limit();
+    return std::chrono::duration_cast<Duration>(serviceTime_ * rounds);
+  }
+
+  Controller controller_;
+  FairQueue<Ticket> queue_;
+  std::uint32_t inFlight_ = 0;
+  Duration serviceTime_{};
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/call_tokens.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "geraniumpin/connection/backend_connection.hpp"
+#include "geraniumpin/process/random.hpp"
+#include "geraniumpin/version/digest.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace geraniumpin {
+
+/// \brief For whom the calls run that a backend server makes with a call token.
+struct TokenHolder
+{
+  const std::string team_;
+  const Digest keyDigest_;
+  const TimePoint deadline_;
+
+  auto operator<=>(const TokenHolder&) const = default;
+};
+
+/// \brief The call tokens of the requests that run at this VM's backend server.
+///
+/// A token is valid on this node only, and only while its request runs.
+class CallTokens
+{
+public:
+  /// \brief Makes a token that nobody can guess from earlier ones.
+  template<Random R>
+  [[nodiscard]] std::string Issue(const AttemptId& aId, const TokenHolder& aHolder, R& aRandom)
+  {
+    const std::string secret = std::to_string(aRandom()) + std::to_string(aRandom());
+    auto token = Digest::Of(secret).Hex();
+    holders_.emplace(token, aHolder);
+    tokens_.emplace(aId, token);
+    return token;
+  }
+
+  void Revoke(const AttemptId& aId)
+  {
+    const auto token = tokens_.find(aId);
+    if (token != tokens_.end()) {
+      holders_.erase(token->second);
+      tokens_.erase(token);
+    }
+  }
+
+  [[nodiscard]] const TokenHolder* Find(const std::string& aToken) const
+  {
+    const auto found = holders_.find(aToken);
+    return found == holders_.end() ? nullptr : &found->second;
+  }
+
+private:
+  std::map<std::string, TokenHolder> holders_;
+  std::map<AttemptId, std::string> tokens_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/config_service.hpp
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "geraniumpin/process/dissemination.hpp"
+#include "geraniumpin/process/node_context.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief Applies versions, whoever brings them, and passes them on.
+template<Environment Env>
+class ConfigService
+{
+public:
+  /// Time after which an unanswered pull is sent again.
+  static constexpr std::chrono::milliseconds kPullTimeout{ 500 };
+
+  /// \param aOnSnapshot Called after each change of the running snapshot.
+  ConfigService(NodeContext<Env>& aContext, std::function<void(const Snapshot&)> aOnSnapshot)
+    : context_(aContext)
+    , onSnapshot_(std::move(aOnSnapshot))
+  {
+  }
+
+  /// \brief Pulls from a peer that announced a higher version than the running one.
+  void OnAnnounced(const Envelope& aEnvelope)
+  {
+    if (context_.Versions().Screen(aEnvelope.announced_)) {
+      ReportConflict(aEnvelope);
+      return;
+    }
+    const auto now = context_.Now();
+    const bool pushIsHere = std::holds_alternative<VersionPush>(aEnvelope.payload_);
+    if (pushIsHere || now < pullAgainAt_) {
+      return;
+    }
+    Pull(aEnvelope.sender_);
+  }
+
+  /// \brief Asks a peer for its version.
+  void Pull(const NodeAddress& aPeer)
+  {
+    pullAgainAt_ = context_.Now() + kPullTimeout;
+    context_.Send(aPeer, VersionPull{ context_.Versions().CurrentId() });
+  }
+
+  /// \brief Answers a pull with the change; with a heartbeat if there is nothing to send.
+  void OnPull(const Envelope& aEnvelope, const VersionPull& aPull)
+  {
+    if (aPull.have_.number_ >= context_.Versions().CurrentId().number_) {
+      context_.Send(aEnvelope.sender_, Heartbeat{});
+      return;
+    }
+    Push(aEnvelope.sender_, context_.Versions().DeltaFrom(aPull.have_), false);
+  }
+
+  void OnPush(const Envelope& aEnvelope, const VersionPush& aPush)
+  {
+    const auto before = context_.Versions().CurrentId();
+    const auto refusal = Apply(aPush.delta_, aEnvelope.sender_.Text());
+    if (!refusal) {
+      pullAgainAt_ = {};
+      SpreadFromPeer(aEnvelope.sender_, aPush.relay_, before);
+    } else if (*refusal == VersionRefusal::BaseMissing) {
+      Pull(aEnvelope.sender_);
+    }
+  }
+
+  /// \brief Applies a version that was read from the platform, and spreads it.
+  /// \returns Whether it was applied.
+  bool OnPlatformVersion(const Delta& aDelta)
+  {
+    const auto before = context_.Versions().CurrentId();
+    if (Apply(aDelta, "platform")) {
+      return false;
+    }
+    PushTo(Roots(), before);
+    AnnounceOutside();
+    return true;
+  }
+
+private:
+  /// \returns Why the version was refused; nothing if it was applied.
+  std::optional<VersionRefusal> Apply(const Delta& aDelta, std::string_view aSource)
+  {
+    const auto startedAt = context_.Now();
+    const auto applied = context_.Versions().Apply(aDelta, context_.Outside().codec_);
+    if (!applied) {
+      WriteRefusal(aDelta, aSource, applied.error());
+      return applied.error().refusal_;
+    }
+    const auto took = context_.Now() - startedAt;
+    context_.Measures().Count("versions_applied");
+    context_.Measures().Record("apply_ms", took);
+    context_.Write(
+      LogEvent("version_applied")
+        .With("version", aDelta.to_.number_)
+        .With("digest", aDelta.to_.digest_.Hex())
+        .With("source", aSource)
+        .With("changed_parts", aDelta.changed_.size())
+        .With("us", std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+    onSnapshot_(**applied);
+    return std::nullopt;
+  }
+
+  void WriteRefusal(const Delta& aDelta, std::string_view aSource, const RefusedVersion& aRefused)
+  {
+    context_.Measures().Count("version_refused_" + std::string(ToString(aRefused.refusal_)));
+    if (aRefused.refusal_ == VersionRefusal::NotNewer) {
+      return;
+    }
+    LogEvent event("version_refused", Severity::Warning);
+    event.With("version", aDelta.to_.number_)
+      .With("digest", aDelta.to_.digest_.Hex())
+      .With("source", aSource)
+      .With("reason", ToString(aRefused.refusal_))
+      .With("faults", aRefused.faults_.size());
+    if (!aRefused.faults_.empty()) {
+      event.With("first_fault", ToString(aRefused.faults_.front()));
+    }
+    context_.Write(event);
+  }
+
+  void ReportConflict(const Envelope& aEnvelope)
+  {
+    const auto& announced = aEnvelope.announced_;
+    if (context_.Versions().Screen(announced) != VersionRefusal::DigestConflict ||
+        announced == reportedConflict_) {
+      return;
+    }
+    reportedConflict_ = announced;
+    context_.Measures().Count("version_conflicts");
+    context_.Write(LogEvent("version_conflict", Severity::Error)
+                     .With("version", announced.number_)
+                     .With("digest", announced.digest_.Hex())
+                     .With("running_digest", context_.Versions().CurrentId().digest_.Hex())
+                     .With("source", aEnvelope.sender_.Text()));
+  }
+
+  void SpreadFromPeer(const NodeAddress& aSender, bool aRelay, const VersionId& aBefore)
+  {
+    const auto& snapshot = *context_.Versions().Current();
+    const auto placement = snapshot.FindPlacement(aSender);
+    const auto& domain = context_.NodeSettings().FailureDomainName();
+    const bool fromOutside = placement && placement->backendServer_.failureDomain_ != domain;
+    if (fromOutside) {
+      PushTo(Roots(), aBefore);
+    } else if (aRelay) {
+      PushTo(TreeChildren(snapshot.Id().number_, context_.Self(), Members()), aBefore);
+    }
+  }
+
+  [[nodiscard]] std::vector<NodeAddress> Members() const
+  {
+    std::vector<NodeAddress> members;
+    const auto& snapshot = *context_.Versions().Current();
+    for (const auto& node : snapshot.NodesOf(context_.NodeSettings().FailureDomainName())) {
+      if (node == context_.Self() || context_.Members().TakesWork(node)) {
+        members.push_back(node);
+      }
+    }
+    return members;
+  }
+
+  [[nodiscard]] std::vector<NodeAddress> Roots() const
+  {
+    return TreeRoots(context_.Versions().CurrentId().number_, context_.Self(), Members());
+  }
+
+  void PushTo(const std::vector<NodeAddress>& aPeers, const VersionId& aBefore)
+  {
+    if (aPeers.empty()) {
+      return;
+    }
+    const auto delta = context_.Versions().DeltaFrom(aBefore);
+    for (const auto& peer : aPeers) {
+      Push(peer, delta, true);
+    }
+  }
+
+  void Push(const NodeAddress& aPeer, const Delta& aDelta, bool aRelay)
+  {
+    context_.Measures().Count("version_pushes");
+    context_.Send(aPeer, VersionPush{ aDelta, aRelay });
+  }
+
+  /// Tells one node of each other failure domain; it pulls if it does not have the version yet.
+  void AnnounceOutside()
+  {
+    const auto& snapshot = *context_.Versions().Current();
+    for (const auto& domain : snapshot.FailureDomains()) {
+      const auto& nodes = snapshot.NodesOf(domain.name_);
+      if (domain.name_ == context_.NodeSettings().FailureDomainName() || nodes.empty()) {
+        continue;
+      }
+      for (const auto& root : TreeRoots(snapshot.Id().number_, context_.Self(), nodes)) {
+        context_.Send(root, Heartbeat{});
+      }
+    }
+  }
+
+  NodeContext<Env>& context_;
+  std::function<void(const Snapshot&)> onSnapshot_;
+  TimePoint pullAgainAt_;
+  VersionId reportedConflict_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -0,0 +1,344 @@
+#pragma once
+
+#include "geraniumpin/process/call_tokens.hpp"
+#include "geraniumpin/process/instance_hints.hpp"
+#include "geraniumpin/process/node_context.hpp"
+#include "geraniumpin/process/team_limits.hpp"
+#include "geraniumpin/request/entry_call.hpp"
+#include "geraniumpin/request/retry_policy.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief Serves callers: authenticates, charges, chooses an instance, retries, answers.
+template<Environment Env>
+class EntryService
+{
+public:
+  /// Longest wait of a request for a token of its team.
+  static constexpr std::chrono::milliseconds kTokenWait{ 400 };
+
+  EntryService(NodeContext<Env>& aContext, TeamLimits<Env>& aLimits, const CallTokens& aTokens)
+    : context_(aContext)
+    , limits_(aLimits)
+    , tokens_(aTokens)
+  {
+  }
+
+  /// \brief Takes in a request of a caller; its answer follows through the caller port.
+  void OnCall(const Call& aCall, KeyTrust aTrust)
+  {
+    context_.Measures().Count("calls");
+    if (context_.Members().IsLeaving()) {
+      Refuse(aCall, Reason::Draining);
+      return;
+    }
+    const auto* holder = FindTokenHolder(aCall);
+    if (!aCall.callToken_.empty() && holder == nullptr) {
+      Refuse(aCall, Reason::TokenUnknown);
+      return;
+    }
+    auto decision = DecideRoute(context_.Versions().Current(),
+                                aCall.method_,
+                                aCall.path_,
+                                KeyDigestOf(aCall, holder),
+                                aTrust);
+    if (!decision) {
+      Refuse(aCall, decision.error());
+      return;
+    }
+    Accept(aCall, std::move(*decision), holder);
+  }
+
+  /// \brief Takes in that the caller left.
+  void OnCallerGone(const CallId& aId)
+  {
+    const auto found = calls_.find(aId);
+    if (found == calls_.end()) {
+      return;
+    }
+    const auto& call = found->second;
+    if (call.stage_ == EntryStage::AtOwner) {
+      context_.Send(call.owner_, CallCancel{ aId, call.attempts_ });
+    }
+    context_.Measures().Count("calls_cancelled");
+    Remove(found);
+  }
+
+  /// \brief Takes in the end of an attempt; late and repeated replies are dropped.
+  void OnReply(const Envelope& aEnvelope, const CallReply& aReply)
+  {
+    hints_.OnHint(aEnvelope.sender_, aReply.hint_, context_.Now());
+    const auto found = calls_.find(aReply.id_);
+    if (found == calls_.end() || found->second.attempts_ != aReply.attempt_ ||
+        found->second.stage_ != EntryStage::AtOwner) {
+      context_.Measures().Count("late_replies");
+      return;
+    }
+    OnAttemptEnd(found->second, aReply.answer_);
+  }
+
+  /// \brief Lets requests of the team go on that wait for a token.
+  void OnTokens(const std::string& aTeam)
+  {
+    const auto waiting = waiting_.find(aTeam);
+    if (waiting == waiting_.end()) {
+      return;
+    }
+    const auto ids = waiting->second;
+    for (const auto& id : ids) {
+      if (!TryCharge(calls_.at(id))) {
+        break;
+      }
+    }
+  }
+
+  void OnTimer()
+  {
+    const auto now = context_.Now();
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      OnDeadline(calls_.at(deadlines_.begin()->second));
+    }
+    std::vector<std::string> teams;
+    for (const auto& [team, ids] : waiting_) {
+      teams.push_back(team);
+    }
+    for (const auto& team : teams) {
+      OnTokens(team);
+    }
+  }
+
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const
+  {
+    return deadlines_.empty() ? std::nullopt : std::optional(deadlines_.begin()->first);
+  }
+
+  [[nodiscard]] std::size_t InFlight() const noexcept { return calls_.size(); }
+  [[nodiscard]] InstanceHints& Hints() noexcept { return hints_; }
+
+private:
+  using Calls = std::map<CallId, EntryCall>;
+
+  [[nodiscard]] const TokenHolder* FindTokenHolder(const Call& aCall) const
+  {
+    return aCall.callToken_.empty() ? nullptr : tokens_.Find(aCall.callToken_);
+  }
+
+  [[nodiscard]] static std::optional<Digest> KeyDigestOf(const Call& aCall,
+                                                         const TokenHolder* aHolder)
+  {
+    if (aHolder != nullptr) {
+      return aHolder->keyDigest_;
+    }
+    return aCall.key_.empty() ? std::nullopt : std::optional(Digest::Of(aCall.key_));
+  }
+
+  void Accept(const Call& aCall, RouteDecision aDecision, const TokenHolder* aHolder)
+  {
+    Duration timeout = aDecision.route_.timeout_;
+    if (aCall.timeout_ > Duration{}) {
+      timeout = std::min(timeout, aCall.timeout_);
+    }
+    auto deadline = aCall.arrivedAt_ + timeout;
+    if (aHolder != nullptr) {
+      deadline = std::min(deadline, aHolder->deadline_);
+    }
+    auto& call =
+      calls_
+        .emplace(
+          aCall.id_,
+          EntryCall{ .call_ = aCall, .decision_ = std::move(aDecision), .deadline_ = deadline })
+        .first->second;
+    deadlines_.emplace(deadline, aCall.id_);
+    const bool charged = call.decision_.route_.access_ == Access::Keyed && aHolder == nullptr;
+    if (!charged) {
+      StartAttempt(call);
+      return;
+    }
+    waiting_[call.decision_.team_].insert(aCall.id_);
+    deadlines_.emplace(std::min(deadline, aCall.arrivedAt_ + kTokenWait), aCall.id_);
+    (void)TryCharge(call);
+  }
+
+  /// \returns Whether the request no longer waits.
+  [[nodiscard]] bool TryCharge(EntryCall& aCall)
+  {
+    const auto team = aCall.decision_.team_;
+    auto [state, token] = limits_.Take(team, waiting_.at(team).size());
+    switch (state) {
+      case TokenState::Taken:
+        StopWaiting(aCall);
+        aCall.token_.emplace(*token);
+        StartAttempt(aCall);
+        return true;
+      case TokenState::Awaited:
+        return false;
+      case TokenState::Exhausted:
+        Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::OverRate));
+        return true;
+      case TokenState::Unavailable:
+        Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::LimitUnavailable));
+        return true;
+    }
+    return false;
+  }
+
+  void StartAttempt(EntryCall& aCall)
+  {
+    const auto* chosen = Choose(aCall);
+    if (chosen == nullptr) {
+      Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::NoInstance));
+      return;
+    }
+    aCall.stage_ = EntryStage::AtOwner;
+    aCall.owner_ = chosen->node_;
+    aCall.tried_.insert(chosen->node_);
+    ++aCall.attempts_;
+    const auto& call = aCall.call_;
+    context_.Send(chosen->node_,
+                  CallRequest{ .id_ = call.id_,
+                               .attempt_ = aCall.attempts_,
+                               .route_ = aCall.decision_.route_.name_,
+                               .team_ = aCall.decision_.team_,
+                               .keyDigest_ = aCall.decision_.keyDigest_,
+                               .method_ = call.method_,
+                               .path_ = call.path_,
+                               .headers_ = call.headers_,
+                               .body_ = call.body_,
+                               .idempotencyKey_ = call.idempotencyKey_,
+                               .remaining_ = aCall.deadline_ - context_.Now() });
+  }
+
+  [[nodiscard]] const BackendServer* Choose(EntryCall& aCall)
+  {
+    const auto& decision = aCall.decision_;
+    const auto candidates = hints_.Candidates(*decision.snapshot_,
+                                              decision.service_,
+                                              context_.Members(),
+                                              context_.NodeSettings().FailureDomainName(),
+                                              aCall.tried_,
+                                              context_.Now());
+    const auto narrowed = hints_.Narrow(decision.service_.name_, candidates);
+    const auto* chosen = ChooseInstance(narrowed, context_.Outside().random_);
+    context_.Write(LogEvent("route")
+                     .With("call", ToString(aCall.call_.id_))
+                     .With("attempt", aCall.attempts_ + 1)
+                     .With("version", decision.snapshot_->Id().number_)
+                     .With("team", decision.team_)
+                     .With("route", decision.route_.name_)
+                     .With("candidates", narrowed.size())
+                     .With("of", candidates.size())
+                     .With("chosen", chosen == nullptr ? "none" : chosen->name_)
+                     .With("reason", chosen == nullptr ? "no_instance" : "less_loaded_of_two"));
+    return chosen;
+  }
+
+  void OnAttemptEnd(EntryCall& aCall, const Answer& aAnswer)
+  {
+    if (aAnswer.outcome_ != Outcome::Answered) {
+      hints_.Avoid(aCall.owner_, context_.Now());
+    }
+    const RetryFacts facts{ .outcome_ = aAnswer.outcome_,
+                            .reason_ = aAnswer.reason_,
+                            .idempotent_ = aCall.decision_.route_.idempotent_,
+                            .beforeDeadline_ = context_.Now() < aCall.deadline_,
+                            .attempts_ = aCall.attempts_ };
+    if (!MayRetry(facts, retries_)) {
+      retries_ = aAnswer.outcome_ == Outcome::Answered ? retries_.AfterSuccess() : retries_;
+      Finish(aCall, aAnswer);
+      return;
+    }
+    retries_ = retries_.AfterRetry();
+    context_.Measures().Count("retries");
+    StartAttempt(aCall);
+  }
+
+  void OnDeadline(EntryCall& aCall)
+  {
+    deadlines_.erase(deadlines_.begin());
+    if (aCall.stage_ == EntryStage::AwaitsToken) {
+      Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::LimitUnavailable));
+    } else if (context_.Now() >= aCall.deadline_) {
+      hints_.Avoid(aCall.owner_, context_.Now());
+      context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempts_ });
+      Finish(aCall, Answer::Refused(Outcome::Unknown, Reason::PeerSilent));
+    }
+  }
+
+  void Refuse(const Call& aCall, Reason aReason)
+  {
+    const auto answer = Answer::Refused(Outcome::NotRun, aReason);
+    WriteEnd(aCall, {}, {}, answer);
+    context_.Outside().callers_.Reply(aCall.id_, answer);
+  }
+
+  void Finish(EntryCall& aCall, const Answer& aAnswer)
+  {
+    const auto id = aCall.call_.id_;
+    WriteEnd(aCall.call_, aCall.decision_.team_, aCall.owner_.Text(), aAnswer);
+    if (aAnswer.outcome_ == Outcome::NotRun && aCall.token_) {
+      limits_.Refund(aCall.decision_.team_, *aCall.token_);
+    }
+    Remove(calls_.find(id));
+    context_.Outside().callers_.Reply(id, aAnswer);
+  }
+
+  void WriteEnd(const Call& aCall,
+                const std::string& aTeam,
+                const std::string& aOwner,
+                const Answer& aAnswer)
+  {
+    const auto took = context_.Now() - aCall.arrivedAt_;
+    context_.Measures().Count("outcome_" + std::string(ToString(aAnswer.outcome_)));
+    if (aAnswer.reason_ != Reason::None) {
+      context_.Measures().Count("reason_" + std::string(ToString(aAnswer.reason_)));
+    }
+    context_.Measures().Record("call_ms", took);
+    context_.Write(
+      LogEvent("call_end")
+        .With("call", ToString(aCall.id_))
+        .With("team", aTeam)
+        .With("owner", aOwner)
+        .With("outcome", ToString(aAnswer.outcome_))
+        .With("reason", ToString(aAnswer.reason_))
+        .With("status", aAnswer.status_)
+        .With("us", std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+  }
+
+  void StopWaiting(const EntryCall& aCall)
+  {
+    const auto found = waiting_.find(aCall.decision_.team_);
+    if (found == waiting_.end()) {
+      return;
+    }
+    found->second.erase(aCall.call_.id_);
+    if (found->second.empty()) {
+      waiting_.erase(found);
+    }
+  }
+
+  void Remove(typename Calls::iterator aCall)
+  {
+    const auto id = aCall->first;
+    StopWaiting(aCall->second);
+    deadlines_.erase({ aCall->second.deadline_, id });
+    deadlines_.erase({ aCall->second.call_.arrivedAt_ + kTokenWait, id });
+    calls_.erase(aCall);
+  }
+
+  NodeContext<Env>& context_;
+  TeamLimits<Env>& limits_;
+  const CallTokens& tokens_;
+  InstanceHints hints_;
+  RetryBudget retries_;
+  Calls calls_;
+  std::map<std::string, std::set<CallId>> waiting_;
+  std::set<std::pair<TimePoint, CallId>> deadlines_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/fair_queue.hpp
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief A request that waits at its owner node.
+template<class Ticket>
+struct QueuedWork
+{
+  Ticket ticket_;
+  std::string team_;
+  Duration cost_; ///< expected time at the backend server
+  TimePoint deadline_;
+};
+
+/// \brief A queue per team, served by deficit round robin over the expected cost.
+///
+/// \code
+/// FairQueue<AttemptId> queue(8);
+/// queue.Push({ id, "t1", 5ms, deadline });
+/// const auto next = queue.Pop();
+/// \endcode
+template<class Ticket>
+class FairQueue
+{
+public:
+  /// \param aMostPerTeam Requests of one team that may wait.
+  explicit FairQueue(std::size_t aMostPerTeam)
+    : mostPerTeam_(aMostPerTeam)
+  {
+  }
+
+  /// \returns False if the queue of the team is full.
+  [[nodiscard]] bool Push(QueuedWork<Ticket> aWork)
+  {
+    auto& queue = queues_[aWork.team_];
+    if (queue.work_.size() >= mostPerTeam_) {
+      return false;
+    }
+    if (queue.work_.empty()) {
+      queue.deficit_ = {};
+      turns_.push_back(aWork.team_);
+    }
+    queue.work_.push_back(std::move(aWork));
+    ++size_;
+    return true;
+  }
+
+  /// \brief Takes the next request in turn.
+  [[nodiscard]] std::optional<QueuedWork<Ticket>> Pop()
+  {
+    while (!turns_.empty()) {
+      auto& queue = queues_.at(turns_.front());
+      if (queue.deficit_ < queue.work_.front().cost_) {
+        queue.deficit_ += Quantum();
+        turns_.splice(turns_.end(), turns_, turns_.begin());
+        continue;
+      }
+      auto work = std::move(queue.work_.front());
+      queue.work_.pop_front();
+      queue.deficit_ -= work.cost_;
+      --size_;
+      EndTurnIfEmpty(turns_.front());
+      return work;
+    }
+    return std::nullopt;
+  }
+
+  /// \brief Removes a request that nobody waits for any more.
+  /// \returns Whether it was waiting.
+  bool Remove(const Ticket& aTicket)
+  {
+    return RemoveIf([&](const auto& aWork) { return aWork.ticket_ == aTicket; }).size() == 1;
+  }
+
+  /// \brief Removes all requests whose deadline has come.
+  [[nodiscard]] std::vector<Ticket> RemoveExpired(TimePoint aNow)
+  {
+    return RemoveIf([&](const auto& aWork) { return aWork.deadline_ <= aNow; });
+  }
+
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const
+  {
+    std::optional<TimePoint> next;
+    for (const auto& [team, queue] : queues_) {
+      for (const auto& work : queue.work_) {
+        next = next ? std::min(*next, work.deadline_) : work.deadline_;
+      }
+    }
+    return next;
+  }
+
+  [[nodiscard]] std::size_t Size() const noexcept { return size_; }
+
+private:
+  struct TeamQueue
+  {
+    std::deque<QueuedWork<Ticket>> work_;
+    Duration deficit_{};
+  };
+
+  /// Time granted to each team in a round; the largest waiting cost, so that a round serves all.
+  [[nodiscard]] Duration Quantum() const
+  {
+    Duration quantum{ 1 };
+    for (const auto& team : turns_) {
+      quantum = std::max(quantum, queues_.at(team).work_.front().cost_);
+    }
+    return quantum;
+  }
+
+  void EndTurnIfEmpty(const std::string& aTeam)
+  {
+    if (queues_.at(aTeam).work_.empty()) {
+      const auto team = aTeam;
+      turns_.remove(team);
+      queues_.erase(team);
+    }
+  }
+
+  template<class Predicate>
+  std::vector<Ticket> RemoveIf(Predicate aPredicate)
+  {
+    std::vector<Ticket> removed;
+    const std::vector<std::string> teams(turns_.begin(), turns_.end());
+    for (const auto& team : teams) {
+      auto& work = queues_.at(team).work_;
+      for (const auto& item : work) {
+        if (aPredicate(item)) {
+          removed.push_back(item.ticket_);
+        }
+      }
+      std::erase_if(work, aPredicate);
+      EndTurnIfEmpty(team);
+    }
+    size_ -= removed.size();
+    return removed;
+  }
+
+  std::size_t mostPerTeam_;
+  std::map<std::string, TeamQueue> queues_;
+  std::list<std::string> turns_;
+  std::size_t size_ = 0;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/metrics.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace geraniumpin {
+
+/// \brief A distribution of durations at one moment, in milliseconds.
+struct DurationSummary
+{
+  const std::uint64_t count_ = 0;
+  const double mean_ = 0;
+  const double median_ = 0;
+  const double p99_ = 0;
+  const double max_ = 0;
+
+  auto operator<=>(const DurationSummary&) const = default;
+};
+
+/// \brief Counters and duration distributions of one process.
+///
+/// \code
+/// metrics.Count("calls_answered");
+/// metrics.Record("call_ms", duration);
+/// \endcode
+class Metrics
+{
+public:
+  void Count(std::string_view aName, std::uint64_t aBy = 1);
+  void Record(std::string_view aName, Duration aDuration);
+
+  [[nodiscard]] const std::map<std::string, std::uint64_t, std::less<>>& Counters() const noexcept
+  {
+    return counters_;
+  }
+  [[nodiscard]] std::map<std::string, DurationSummary> Durations() const;
+
+private:
+  using Accumulator = boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::mean,
+                               boost::accumulators::tag::max,
+                               boost::accumulators::tag::extended_p_square>>;
+
+  std::map<std::string, std::uint64_t, std::less<>> counters_;
+  std::map<std::string, Accumulator, std::less<>> durations_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/node_context.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "geraniumpin/process/environment.hpp"
+#include "geraniumpin/process/membership.hpp"
+#include "geraniumpin/process/settings.hpp"
+
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace geraniumpin {
+
+/// \brief What the parts of a node share: its identity, its version, its outside.
+template<Environment Env>
+class NodeContext
+{
+public:
+  NodeContext(Env aEnvironment, Settings aSettings, std::uint64_t aIncarnation)
+    : environment_(aEnvironment)
+    , settings_(std::move(aSettings))
+    , incarnation_(aIncarnation)
+    , membership_(settings_.PeerAddress(), settings_.FailureDomainName(), aIncarnation)
+  {
+  }
+
+  [[nodiscard]] TimePoint Now() const { return environment_.clock_.Now(); }
+  [[nodiscard]] const Settings& NodeSettings() const noexcept { return settings_; }
+  [[nodiscard]] const NodeAddress& Self() const noexcept { return settings_.PeerAddress(); }
+  [[nodiscard]] std::uint64_t Incarnation() const noexcept { return incarnation_; }
+  [[nodiscard]] Env& Outside() noexcept { return environment_; }
+  [[nodiscard]] VersionStore& Versions() noexcept { return versions_; }
+  [[nodiscard]] const VersionStore& Versions() const noexcept { return versions_; }
+  [[nodiscard]] Membership& Members() noexcept { return membership_; }
+  [[nodiscard]] const Membership& Members() const noexcept { return membership_; }
+  [[nodiscard]] Metrics& Measures() noexcept { return metrics_; }
+  [[nodiscard]] const Metrics& Measures() const noexcept { return metrics_; }
+
+  /// \brief Sends a message to a peer under the name and version of this node.
+  void Send(const NodeAddress& aPeer, Payload aPayload)
+  {
+    Envelope envelope{ .sender_ = Self(),
+                       .senderIncarnation_ = incarnation_,
+                       .receiverIncarnation_ = membership_.IncarnationOf(aPeer),
+                       .announced_ = versions_.CurrentId(),
+                       .payload_ = std::move(aPayload) };
+    if (aPeer == Self()) {
+      local_.push_back(std::move(envelope));
+    } else {
+      environment_.transport_.Send(aPeer, envelope);
+    }
+  }
+
+  /// \brief Takes the next message that this node sent to itself.
+  [[nodiscard]] std::optional<Envelope> TakeLocal()
+  {
+    if (local_.empty()) {
+      return std::nullopt;
+    }
+    std::optional<Envelope> envelope(std::move(local_.front()));
+    local_.pop_front();
+    return envelope;
+  }
+
+  void Write(const LogEvent& aEvent) { environment_.log_.Write(aEvent); }
+
+private:
+  Env environment_;
+  Settings settings_;
+  std::uint64_t incarnation_;
+  VersionStore versions_;
+  Membership membership_;
+  Metrics metrics_;
+  std::deque<Envelope> local_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/node_status.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "geraniumpin/version/node_address.hpp"
+#include "geraniumpin/version/version_id.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief What a node does at the moment.
+enum class NodeState
+{
+  Starting,       ///< has no configuration yet
+  OpenRoutesOnly, ///< cannot vouch for keys: not yet confirmed by peers, or cut off
+  Serving,
+  Draining
+};
+
+/// \brief Returns the state as a lower-case word with underscores.
+[[nodiscard]] std::string_view
+ToString(NodeState aState) noexcept;
+
+/// \brief What operators see of a node.
+struct NodeStatus
+{
+  const NodeAddress node_;
+  const std::string failureDomain_;
+  const std::uint64_t incarnation_ = 0;
+  const VersionId version_;
+  const NodeState state_ = NodeState::Starting;
+  const bool watcher_ = false;
+  const std::size_t homeTeams_ = 0;
+  const bool homeAuthorized_ = false;
+  const std::size_t entryCalls_ = 0;
+  const std::size_t ownedAttempts_ = 0;
+  const std::size_t queued_ = 0;
+  const double concurrencyLimit_ = 0;
+
+  auto operator<=>(const NodeStatus&) const = default;
+};
+
+/// \brief An instance that a request could go to.
+struct ExplainedCandidate
+{
+  const std::string backendServer_;
+  const bool local_ = false;
+  const double load_ = 0;
+
+  auto operator<=>(const ExplainedCandidate&) const = default;
+};
+
+/// \brief How a request would be routed.
+struct Explanation
+{
+  const std::uint64_t version_ = 0;
+  const std::string route_;
+  const std::string team_;
+  const std::string service_;
+  const std::vector<ExplainedCandidate> candidates_;
+  const std::string chosen_; ///< empty if no instance takes work
+
+  auto operator<=>(const Explanation&) const = default;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/process/settings.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "geraniumpin/version/fault.hpp"
+#include "geraniumpin/version/node_address.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief What a node process is told at its start; only SettingsBuilder makes one.
+class Settings
+{
+public:
+  /// \brief Address on which peers reach this node; it names the node in the document.
+  [[nodiscard]] const NodeAddress& PeerAddress() const noexcept { return peerAddress_; }
+  /// \brief Address on which the node listens for peers, if it differs from the one they use.
+  [[nodiscard]] const NodeAddress& PeerListenAddress() const noexcept
+  {
+    return peerListen_.Empty() ? peerAddress_ : peerListen_;
+  }
+  /// \brief Address for callers.
+  [[nodiscard]] const NodeAddress& CallerAddress() const noexcept { return callerAddress_; }
+  /// \brief Address for operators: status, metrics, explain.
+  [[nodiscard]] const NodeAddress& AdminAddress() const noexcept { return adminAddress_; }
+  [[nodiscard]] const std::string& FailureDomainName() const noexcept { return failureDomain_; }
+  /// \brief The backend server on this VM.
+  [[nodiscard]] const NodeAddress& BackendServerAddress() const noexcept { return backendServer_; }
+  [[nodiscard]] const NodeAddress& PlatformAddress() const noexcept { return platform_; }
+  /// \brief Peers to ask first; the platform's list of VMs adds to them.
+  [[nodiscard]] const std::vector<NodeAddress>& Seeds() const noexcept { return seeds_; }
+  /// \brief Secret shared by all nodes, which authenticates their messages.
+  [[nodiscard]] const std::string& PeerKey() const noexcept { return peerKey_; }
+  /// \brief Largest request or answer body in bytes.
+  [[nodiscard]] std::size_t MostBodyBytes() const noexcept { return mostBodyBytes_; }
+  /// \brief Longest time that a planned stop waits for running requests.
+  [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
+
+  auto operator<=>(const Settings&) const = default;
+
+private:
+  friend class SettingsBuilder;
+  Settings() = default;
+
+  NodeAddress peerAddress_;
+  NodeAddress peerListen_;
+  NodeAddress callerAddress_;
+  NodeAddress adminAddress_;
+  std::string failureDomain_;
+  NodeAddress backendServer_;
+  NodeAddress platform_;
+  std::vector<NodeAddress> seeds_;
+  std::string peerKey_;
+  std::size_t mostBodyBytes_ = kDefaultMostBodyBytes;
+  std::chrono::milliseconds drainTimeout_ = kDefaultDrainTimeout;
+
+  static constexpr std::size_t kDefaultMostBodyBytes = 8U << 20U;
+  static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
+};
+
+/// \brief Collects settings and checks how they fit together.
+///
+/// \code
+/// const auto settings = SettingsBuilder("node.json").PeerAddress(peer).Build();
+/// \endcode
+class SettingsBuilder
+{
+public:
+  /// \param aSource Named in faults.
+  explicit SettingsBuilder(std::string aSource)
+    : source_(std::move(aSource))
+  {
+  }
+
+  SettingsBuilder& PeerAddress(NodeAddress aAddress);
+  SettingsBuilder& PeerListenAddress(NodeAddress aAddress);
+  SettingsBuilder& CallerAddress(NodeAddress aAddress);
+  SettingsBuilder& AdminAddress(NodeAddress aAddress);
+  SettingsBuilder& FailureDomainName(std::string aName);
+  SettingsBuilder& BackendServerAddress(NodeAddress aAddress);
+  SettingsBuilder& PlatformAddress(NodeAddress aAddress);
+  SettingsBuilder& Seeds(std::vector<NodeAddress> aSeeds);
+  SettingsBuilder& PeerKey(std::string aKey);
+  SettingsBuilder& MostBodyBytes(std::size_t aBytes);
+  SettingsBuilder& DrainTimeout(std::chrono::milliseconds aTimeout);
+
+  /// \returns The settings, or every fault found.
+  [[nodiscard]] tl::expected<Settings, Faults> Build() const;
+
+private:
+  std::string source_;
+  Settings settings_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "geraniumpin/connection/lease_holder.hpp"
+#include "geraniumpin/request/call.hpp"
+#include "geraniumpin/request/route_decision.hpp"
+
+#include <optional>
+#include <set>
+
+namespace geraniumpin {
+
+/// \brief Where a request stands at its entry node.
+enum class EntryStage
+{
+  AwaitsToken, ///< waits for a token of its team
+  AtOwner      ///< an attempt is at an owner node
+};
+
+/// \brief A request that its entry node has accepted; it lives until the caller has its answer.
+struct EntryCall
+{
+  const Call call_;
+  const RouteDecision decision_;
+  const TimePoint deadline_;
+  EntryStage stage_ = EntryStage::AwaitsToken;
+  std::optional<SpentToken> token_;
+  std::uint32_t attempts_ = 0;
+  NodeAddress owner_;
+  std::set<NodeAddress> tried_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "geraniumpin/process/random.hpp"
+#include "geraniumpin/version/document.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief What an entry node believes about an instance; owners decide, so it may be stale.
+struct LoadHint
+{
+  double load_ = 0; ///< running and queued requests as a share of the concurrency limit
+  bool takesWork_ = true;
+
+  auto operator<=>(const LoadHint&) const = default;
+};
+
+/// \brief An instance that could take a request.
+struct Candidate
+{
+  const BackendServer* backendServer_ = nullptr;
+  LoadHint hint_;
+  bool local_ = false; ///< in the failure domain of the entry node
+};
+
+/// \brief Load above which an entry node sends work to other failure domains.
+inline constexpr double kSpillOverLoad = 0.9;
+
+/// \brief Load below which spilled work comes back to the own failure domain.
+inline constexpr double kSpillBackLoad = 0.7;
+
+/// \brief Decides by average load whether work leaves the own failure domain, with hysteresis.
+/// \param aSpilling Whether it left until now.
+[[nodiscard]] bool
+DecideSpillOver(const std::vector<Candidate>& aCandidates, bool aSpilling) noexcept;
+
+/// \brief Returns the local candidates, or all of them if there are none or work spills over.
+[[nodiscard]] std::vector<Candidate>
+PreferLocal(const std::vector<Candidate>& aCandidates, bool aSpilling);
+
+/// \brief Draws two different candidates and takes the less loaded one.
+/// \returns Null if there is no candidate.
+template<Random R>
+[[nodiscard]] const BackendServer*
+ChooseInstance(const std::vector<Candidate>& aCandidates, R& aRandom)
+{
+  if (aCandidates.empty()) {
+    return nullptr;
+  }
+  const auto first = DrawIndex(aRandom, aCandidates.size());
+  if (aCandidates.size() == 1) {
+    return aCandidates[first].backendServer_;
+  }
+  const auto offset = 1 + DrawIndex(aRandom, aCandidates.size() - 1);
+  const auto second = (first + offset) % aCandidates.size();
+  const bool firstIsLighter = aCandidates[first].hint_.load_ <= aCandidates[second].hint_.load_;
+  return aCandidates[firstIsLighter ? first : second].backendServer_;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/request/owned_attempt.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "geraniumpin/connection/message.hpp"
+
+namespace geraniumpin {
+
+/// \brief An attempt that its owner node queued or runs; it lives until the reply is sent.
+struct OwnedAttempt
+{
+  const NodeAddress entry_;
+  const CallRequest request_;
+  const TimePoint deadline_;
+  TimePoint startedAt_{}; ///< zero while it is queued
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/version/snapshot.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "geraniumpin/version/document.hpp"
+#include "geraniumpin/version/fault.hpp"
+#include "geraniumpin/version/manifest.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief The decoded parts of a version by part name.
+using DecodedParts = std::map<std::string, SharedPart, std::less<>>;
+
+/// \brief One instance together with the service that it belongs to.
+struct Placement
+{
+  const Service& service_;
+  const BackendServer& backendServer_;
+};
+
+/// \brief One complete, validated configuration; requests are pinned to the one they began with.
+///
+/// Every reference in it resolves: routes to services, keys to teams, backend servers to failure
+/// domains. Only SnapshotBuilder makes one.
+class Snapshot
+{
+public:
+  [[nodiscard]] const VersionId& Id() const noexcept { return id_; }
+  [[nodiscard]] const Manifest& Parts() const noexcept { return manifest_; }
+  [[nodiscard]] const DecodedParts& Decoded() const noexcept { return parts_; }
+
+  /// \brief Finds the route with the longest prefix of the path that allows the method.
+  /// \returns Null if there is none.
+  [[nodiscard]] const Route* FindRoute(std::string_view aMethod,
+                                       std::string_view aPath) const noexcept;
+
+  /// \brief Finds the team that holds the key, comparing digests in constant time.
+  /// \returns Null if the key is unknown or was withdrawn.
+  [[nodiscard]] const Key* FindKey(const Digest& aDigest) const noexcept;
+
+  [[nodiscard]] const Service* FindService(std::string_view aName) const noexcept;
+  [[nodiscard]] const Team* FindTeam(std::string_view aName) const noexcept;
+  [[nodiscard]] const FailureDomain* FindFailureDomain(std::string_view aName) const noexcept;
+
+  /// \brief Finds the backend server behind a node.
+  [[nodiscard]] std::optional<Placement> FindPlacement(const NodeAddress& aNode) const noexcept;
+
+  [[nodiscard]] const std::vector<FailureDomain>& FailureDomains() const noexcept;
+  [[nodiscard]] const std::vector<Route>& Routes() const noexcept;
+  [[nodiscard]] const std::vector<Team>& Teams() const noexcept;
+  [[nodiscard]] std::vector<const Service*> Services() const;
+  [[nodiscard]] std::chrono::seconds CutOffKeyedService() const noexcept;
+
+  /// \brief Lists the nodes of a failure domain in the order of their addresses.
+  [[nodiscard]] const std::vector<NodeAddress>& NodesOf(std::string_view aFailureDomain) const;
+
+  bool operator==(const Snapshot& aOther) const noexcept { return id_ == aOther.id_; }
+
+private:
+  friend class SnapshotBuilder;
+  Snapshot(Manifest aManifest, DecodedParts aParts);
+
+  VersionId id_;
+  Manifest manifest_;
+  DecodedParts parts_;
+  std::map<std::string, std::vector<NodeAddress>, std::less<>> nodes_;
+};
+
+/// \brief A snapshot as the holders share it.
+using SharedSnapshot = std::shared_ptr<const Snapshot>;
+
+/// \brief Collects decoded parts and builds a snapshot, whole or not at all.
+///
+/// \code
+/// auto snapshot = SnapshotBuilder(manifest).Add("routes", routes).Build();
+/// if (!snapshot) {
+///   Report(snapshot.error());
+/// }
+/// \endcode
+class SnapshotBuilder
+{
+public:
+  /// \param aManifest Lists exactly the parts that the snapshot must have.
+  explicit SnapshotBuilder(Manifest aManifest)
+    : manifest_(std::move(aManifest))
+  {
+  }
+
+  SnapshotBuilder& Add(std::string aName, SharedPart aPart);
+
+  /// \brief Checks that the parts are complete and that every reference resolves.
+  /// \returns The snapshot, or every fault found.
+  [[nodiscard]] tl::expected<SharedSnapshot, Faults> Build() const;
+
+private:
+  Manifest manifest_;
+  DecodedParts parts_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/include/geraniumpin/version/version_store.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "geraniumpin/version/snapshot.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace geraniumpin {
+
+/// \brief The bytes of a part, shared between versions and outgoing messages.
+using SharedBytes = std::shared_ptr<const std::string>;
+
+/// \brief A change from one version to another, as nodes send it to each other.
+struct Delta
+{
+  const VersionId from_; ///< number 0 means: from nothing
+  const VersionId to_;
+  const std::map<std::string, SharedBytes> changed_;
+  const std::vector<std::string> removed_;
+};
+
+/// \brief Why a version was not applied.
+enum class VersionRefusal
+{
+  NotNewer,        ///< the running version has this number or a higher one
+  DigestConflict,  ///< the running version has this number and another digest
+  KnownBad,        ///< an earlier attempt found it invalid
+  BaseMissing,     ///< the delta starts from a version that is not the running one
+  ContentMismatch, ///< the parts do not add up to the announced digest
+  Invalid          ///< a part or a reference is invalid; the faults say which
+};
+
+/// \brief A refusal with the faults that explain it, if any.
+struct RefusedVersion
+{
+  const VersionRefusal refusal_;
+  const Faults faults_;
+};
+
+[[nodiscard]] std::string_view
+ToString(VersionRefusal aRefusal) noexcept;
+
+/// \brief Decodes the bytes of a part into its value.
+template<class Codec>
+concept PartCodec = requires(const Codec& aCodec, std::string_view aText)
+{
+  {
+    aCodec.Decode(aText, aText)
+    } -> std::same_as<tl::expected<SharedPart, Faults>>;
+};
+
+/// \brief Holds the running snapshot, the bytes of its parts and what was refused.
+///
+/// The running version only ever grows: no call lowers it, and an invalid version changes nothing.
+class VersionStore
+{
+public:
+  /// Manifests kept to compute deltas for nodes that are a little behind.
+  static constexpr std::size_t kManifestHistory = 64;
+
+  /// \brief The running snapshot; null before the first version.
+  [[nodiscard]] const SharedSnapshot& Current() const noexcept { return current_; }
+
+  /// \brief The running version; number 0 before the first.
+  [[nodiscard]] VersionId CurrentId() const noexcept
+  {
+    return current_ ? current_->Id() : VersionId{};
+  }
+
+  /// \brief Decides whether a version is worth fetching.
+  /// \returns Nothing if it is, or else why not.
+  [[nodiscard]] std::optional<VersionRefusal> Screen(const VersionId& aId) const;
+
+  /// \brief Applies a change whole, or refuses it and leaves the running version as it is.
+  template<PartCodec Codec>
+  [[nodiscard]] tl::expected<SharedSnapshot, RefusedVersion> Apply(const Delta& aDelta,
+                                                                   const Codec& aCodec);
+
+  /// \brief Builds the change that brings a node from its version to the running one.
+  ///
+  /// Starts from nothing if the version of the other node is not in the history.
+  [[nodiscard]] Delta DeltaFrom(const VersionId& aTheirs) const;
+
+  /// \brief The bytes of the running parts by digest, so that a reader fetches only what changed.
+  [[nodiscard]] SharedBytes FindBytes(const Digest& aDigest) const;
+
+private:
+  [[nodiscard]] std::optional<std::map<std::string, SharedBytes>> Merge(const Delta& aDelta) const;
+  [[nodiscard]] tl::unexpected<RefusedVersion> RefuseInvalid(const VersionId& aId, Faults aFaults);
+  void Install(SharedSnapshot aSnapshot, std::map<std::string, SharedBytes> aBytes);
+  [[nodiscard]] SharedPart Reusable(const std::string& aName, const Digest& aDigest) const;
+
+  SharedSnapshot current_;
+  std::map<std::string, SharedBytes> bytes_;
+  std::map<Digest, SharedBytes> bytesByDigest_;
+  std::deque<Manifest> history_;
+  std::set<VersionId> bad_;
+};
+
+namespace impl {
+
+/// \brief Computes the manifest of a set of parts, reusing known digests.
+[[nodiscard]] Manifest
+ManifestOf(std::uint64_t aNumber,
+           const std::map<std::string, SharedBytes>& aParts,
+           const std::map<std::string, SharedBytes>& aKnownBytes,
+           const PartDigests& aKnownDigests);
+
+} // namespace impl
+
+template<PartCodec Codec>
+tl::expected<SharedSnapshot, RefusedVersion>
+VersionStore::Apply(const Delta& aDelta, const Codec& aCodec)
+{
+  if (const auto refusal = Screen(aDelta.to_)) {
+    return tl::make_unexpected(RefusedVersion{ *refusal, {} });
+  }
+  const auto merged = Merge(aDelta);
+  if (!merged) {
+    return tl::make_unexpected(RefusedVersion{ VersionRefusal::BaseMissing, {} });
+  }
+  const auto manifest = impl::ManifestOf(
+    aDelta.to_.number_, *merged, bytes_, current_ ? current_->Parts().parts_ : PartDigests{});
+  if (IdOf(manifest) != aDelta.to_) {
+    return tl::make_unexpected(RefusedVersion{ VersionRefusal::ContentMismatch, {} });
+  }
+  SnapshotBuilder builder(manifest);
+  for (const auto& [name, digest] : manifest.parts_) {
+    if (auto reused = Reusable(name, digest)) {
+      builder.Add(name, std::move(reused));
+      continue;
+    }
+    auto decoded = aCodec.Decode(name, *merged->at(name));
+    if (!decoded) {
+      return RefuseInvalid(aDelta.to_, std::move(decoded.error()));
+    }
+    builder.Add(name, std::move(*decoded));
+  }
+  auto snapshot = builder.Build();
+  if (!snapshot) {
+    return RefuseInvalid(aDelta.to_, std::move(snapshot.error()));
+  }
+  Install(*snapshot, *merged);
+  return *snapshot;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/connection/http_server.cpp
@@ -0,0 +1,267 @@
+#include "http_server.hpp"
+
+#include <arpa/inet.h>
+#include <glog/logging.h>
+#include <h2o.h>
+#include <map>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
+constexpr std::size_t kBodySlack = 1;              // lets the handler itself see an oversized body
+// Delay before a waiting client is watched for leaving, so that quick requests cost nothing.
+constexpr std::uint64_t kGoneWatchDelayMs = 20;
+
+std::string
+ToText(const h2o_iovec_t& aVector)
+{
+  return { aVector.base, aVector.len };
+}
+
+HeaderFields
+HeadersOf(const h2o_req_t& aRequest)
+{
+  HeaderFields fields;
+  fields.reserve(aRequest.headers.size);
+  for (std::size_t i = 0; i < aRequest.headers.size; ++i) {
+    const auto& header = aRequest.headers.entries[i];
+    fields.push_back({ ToText(*header.name), ToText(header.value) });
+  }
+  return fields;
+}
+
+int
+Listen(const NodeAddress& aAddress)
+{
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  PCHECK(fd >= 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.Port());
+  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
+  PCHECK(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+    << "event=listen_failed address=" << aAddress.Text();
+  PCHECK(listen(fd, kListenBacklog) == 0);
+  return fd;
+}
+
+} // namespace
+} // namespace impl
+
+/// \brief Connects h2o's callbacks with the handlers.
+struct HttpServer::Impl
+{
+  /// One request; it lives in the request's memory pool and ends with it.
+  struct Exchange
+  {
+    Impl* server_;
+    ExchangeId id_;
+    h2o_req_t* request_;
+    bool responded_ = false;
+    Body body_; ///< keeps the response body while h2o sends it
+    h2o_generator_t generator_{};
+    h2o_timeout_entry_t watchDelay_{};
+    std::unique_ptr<FdWatch> goneWatch_;
+  };
+  struct Handler
+  {
+    h2o_handler_t base_;
+    Impl* server_;
+  };
+
+  Impl(EventLoop& aLoop,
+       const NodeAddress& aAddress,
+       std::size_t aMostBodyBytes,
+       HttpHandlers aHandlers)
+    : loop_(aLoop)
+    , handlers_(std::move(aHandlers))
+  {
+    h2o_config_init(&config_);
+    config_.max_request_entity_size = aMostBodyBytes + impl::kBodySlack;
+    config_.http1.req_timeout = impl::kRequestTimeoutMs;
+    config_.server_name = { nullptr, 0 };
+    auto* host = h2o_config_register_host(&config_, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    auto* path = h2o_config_register_path(host, "/", 0);
+    auto* handler = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+    handler->base_.on_req = OnRequest;
+    handler->server_ = this;
+    h2o_context_init(&context_, loop_.Native(), &config_);
+    accept_.ctx = &context_;
+    accept_.hosts = config_.hosts;
+    h2o_timeout_init(loop_.Native(), &watchDelay_, impl::kGoneWatchDelayMs);
+    listener_ =
+      h2o_evloop_socket_create(loop_.Native(), impl::Listen(aAddress), H2O_SOCKET_FLAG_DONT_READ);
+    listener_->data = this;
+    h2o_socket_read_start(listener_, OnAccept);
+  }
+
+  static void OnAccept(h2o_socket_t* aListener, const char* aError)
+  {
+    if (aError != nullptr) {
+      return;
+    }
+    auto* server = static_cast<Impl*>(aListener->data);
+    if (auto* socket = h2o_evloop_socket_accept(aListener)) {
+      h2o_accept(&server->accept_, socket);
+    }
+  }
+
+  static int OnRequest(h2o_handler_t* aHandler, h2o_req_t* aRequest)
+  {
+    auto* server = reinterpret_cast<Handler*>(aHandler)->server_;
+    server->Receive(aRequest);
+    return 0;
+  }
+
+  void Receive(h2o_req_t* aRequest)
+  {
+    auto* memory = h2o_mem_alloc_shared(&aRequest->pool, sizeof(Exchange), OnDispose);
+    auto* exchange = new (memory) Exchange{ this, nextId_++, aRequest };
+    exchanges_.emplace(exchange->id_, exchange);
+    if (handlers_.onGone_) {
+      exchange->watchDelay_.cb = OnWatchDelay;
+      h2o_timeout_link(loop_.Native(), &watchDelay_, &exchange->watchDelay_);
+    }
+    const auto& entity = aRequest->entity;
+    const HttpRequest request{ .method_ = impl::ToText(aRequest->method),
+                               .path_ = impl::ToText(aRequest->path),
+                               .headers_ = impl::HeadersOf(*aRequest),
+                               .body_ = MakeBody({ entity.base, entity.len }) };
+    handlers_.onRequest_(exchange->id_, request);
+  }
+
+  static Exchange* FromWatchDelay(h2o_timeout_entry_t* aEntry)
+  {
+    return H2O_STRUCT_FROM_MEMBER(Exchange, watchDelay_, aEntry);
+  }
+
+  /// h2o does not read from a connection while a request is answered, so the descriptor is watched
+  /// for the end of the stream.
+  static void OnWatchDelay(h2o_timeout_entry_t* aEntry)
+  {
+    auto* exchange = FromWatchDelay(aEntry);
+    auto* connection = exchange->request_->conn;
+    auto* socket = connection->callbacks->get_socket(connection);
+    if (socket == nullptr || exchange->request_->version >= 0x200) {
+      return;
+    }
+    const int fd = h2o_socket_get_fd(socket);
+    exchange->goneWatch_ = std::make_unique<FdWatch>(
+      exchange->server_->loop_, fd, [exchange, fd] { OnConnectionReadable(exchange, fd); });
+  }
+
+  static void OnConnectionReadable(Exchange* aExchange, int aFd)
+  {
+    char byte = 0;
+    const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    auto* server = aExchange->server_;
+    const auto id = aExchange->id_;
+    aExchange->goneWatch_.reset();
+    if (received == 0 && !aExchange->responded_) {
+      server->handlers_.onGone_(id);
+    }
+  }
+
+  static void OnDispose(void* aMemory)
+  {
+    auto* exchange = static_cast<Exchange*>(aMemory);
+    auto* server = exchange->server_;
+    if (h2o_timeout_is_linked(&exchange->watchDelay_)) {
+      h2o_timeout_unlink(&exchange->watchDelay_);
+    }
+    server->exchanges_.erase(exchange->id_);
+    if (!exchange->responded_ && server->handlers_.onGone_) {
+      server->handlers_.onGone_(exchange->id_);
+    }
+    exchange->~Exchange();
+  }
+
+  void Respond(ExchangeId aId, const HttpResponse& aResponse)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || found->second->responded_) {
+      return;
+    }
+    loop_.SkipSleep();
+    auto& exchange = *found->second;
+    exchange.responded_ = true;
+    exchange.goneWatch_.reset();
+    if (h2o_timeout_is_linked(&exchange.watchDelay_)) {
+      h2o_timeout_unlink(&exchange.watchDelay_);
+    }
+    exchange.body_ = aResponse.body_ ? aResponse.body_ : MakeBody("");
+    auto* request = exchange.request_;
+    request->res.status = aResponse.status_;
+    request->res.reason = ReasonPhrase(aResponse.status_);
+    request->res.content_length = exchange.body_->size();
+    for (const auto& field : aResponse.headers_) {
+      const auto name = h2o_strdup(&request->pool, field.name_.data(), field.name_.size());
+      const auto value = h2o_strdup(&request->pool, field.value_.data(), field.value_.size());
+      h2o_add_header_by_str(&request->pool,
+                            &request->res.headers,
+                            name.base,
+                            name.len,
+                            1,
+                            nullptr,
+                            value.base,
+                            value.len);
+    }
+    h2o_start_response(request, &exchange.generator_);
+    h2o_iovec_t buffer{ const_cast<char*>(exchange.body_->data()), exchange.body_->size() };
+    h2o_send(request, &buffer, 1, H2O_SEND_STATE_FINAL);
+  }
+
+  EventLoop& loop_;
+  HttpHandlers handlers_;
+  h2o_globalconf_t config_{};
+  h2o_context_t context_{};
+  h2o_accept_ctx_t accept_{};
+  h2o_timeout_t watchDelay_{};
+  h2o_socket_t* listener_ = nullptr;
+  ExchangeId nextId_ = 1;
+  std::map<ExchangeId, Exchange*> exchanges_;
+};
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       const NodeAddress& aAddress,
+                       std::size_t aMostBodyBytes,
+                       HttpHandlers aHandlers)
+  : impl_(std::make_unique<Impl>(aLoop, aAddress, aMostBodyBytes, std::move(aHandlers)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  // Connections may still refer to the server; they end with the process.
+  StopAccepting();
+  impl_->handlers_ = { [](ExchangeId, const HttpRequest&) {}, {} };
+  (void)impl_.release();
+}
+
+void
+HttpServer::Respond(ExchangeId aId, const HttpResponse& aResponse)
+{
+  impl_->Respond(aId, aResponse);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  if (impl_->listener_ == nullptr) {
+    return;
+  }
+  h2o_socket_close(impl_->listener_);
+  impl_->listener_ = nullptr;
+  h2o_context_request_shutdown(&impl_->context_);
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/connection/http_server.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "../process/event_loop.hpp"
+#include "../request/http_message.hpp"
+#include "geraniumpin/version/node_address.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace geraniumpin {
+
+/// \brief Names a request that an HttpServer received.
+using ExchangeId = std::uint64_t;
+
+/// \brief What an HTTP server does with requests.
+struct HttpHandlers
+{
+  /// Called for each request; Respond must follow, at once or later.
+  std::function<void(ExchangeId, const HttpRequest&)> onRequest_;
+  /// Called if the client left before it had its response; may be empty.
+  std::function<void(ExchangeId)> onGone_;
+};
+
+/// \brief An HTTP server on the event loop, built on h2o.
+///
+/// \code
+/// HttpServer server(loop, address, kMostBodyBytes, { onRequest, {} });
+/// \endcode
+class HttpServer
+{
+public:
+  /// \brief Listens at once; an address that cannot be bound ends the process.
+  HttpServer(EventLoop& aLoop,
+             const NodeAddress& aAddress,
+             std::size_t aMostBodyBytes,
+             HttpHandlers aHandlers);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// \brief Sends a response; does nothing if the client has left.
+  void Respond(ExchangeId aId, const HttpResponse& aResponse);
+
+  /// \brief Accepts no further connections and ends idle ones.
+  void StopAccepting();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/connection/peer_codec.cpp
@@ -0,0 +1,391 @@
+#include "peer_codec.hpp"
+
+#include "generated/peer.pb.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::size_t kTagBytes = 32;
+
+std::int64_t
+Microseconds(Duration aDuration) noexcept
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
+}
+
+Duration
+FromMicroseconds(std::int64_t aValue) noexcept
+{
+  return std::chrono::microseconds(aValue);
+}
+
+std::string
+BytesOf(const Digest& aDigest)
+{
+  return std::string(aDigest.Bytes());
+}
+
+void
+Write(const CallId& aFrom, wire::CallId& aTo)
+{
+  aTo.set_incarnation(aFrom.incarnation_);
+  aTo.set_sequence(aFrom.sequence_);
+}
+
+CallId
+Read(const wire::CallId& aFrom)
+{
+  return { aFrom.incarnation(), aFrom.sequence() };
+}
+
+void
+Write(const VersionId& aFrom, wire::VersionId& aTo)
+{
+  aTo.set_number(aFrom.number_);
+  aTo.set_digest(BytesOf(aFrom.digest_));
+}
+
+/// An absent or malformed digest reads as the digest of nothing, which no version has.
+VersionId
+Read(const wire::VersionId& aFrom)
+{
+  return { aFrom.number(), Digest::FromBytes(aFrom.digest()).value_or(Digest{}) };
+}
+
+template<class Fields>
+void
+WriteHeaders(const HeaderFields& aFrom, Fields* aTo)
+{
+  for (const auto& field : aFrom) {
+    auto* header = aTo->Add();
+    header->set_name(field.name_);
+    header->set_value(field.value_);
+  }
+}
+
+template<class Fields>
+HeaderFields
+ReadHeaders(const Fields& aFrom)
+{
+  HeaderFields fields;
+  fields.reserve(static_cast<std::size_t>(aFrom.size()));
+  for (const auto& header : aFrom) {
+    fields.push_back({ header.name(), header.value() });
+  }
+  return fields;
+}
+
+void
+Write(const CallRequest& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_call_request();
+  Write(aFrom.id_, *to.mutable_id());
+  to.set_attempt(aFrom.attempt_);
+  to.set_route(aFrom.route_);
+  to.set_team(aFrom.team_);
+  to.set_key_digest(BytesOf(aFrom.keyDigest_));
+  to.set_method(aFrom.method_);
+  to.set_path(aFrom.path_);
+  WriteHeaders(aFrom.headers_, to.mutable_headers());
+  if (aFrom.body_) {
+    to.set_body(*aFrom.body_);
+  }
+  to.set_idempotency_key(aFrom.idempotencyKey_);
+  to.set_remaining_us(Microseconds(aFrom.remaining_));
+}
+
+Payload
+Read(const wire::CallRequest& aFrom)
+{
+  return CallRequest{ .id_ = Read(aFrom.id()),
+                      .attempt_ = aFrom.attempt(),
+                      .route_ = aFrom.route(),
+                      .team_ = aFrom.team(),
+                      .keyDigest_ = Digest::FromBytes(aFrom.key_digest()).value_or(Digest{}),
+                      .method_ = aFrom.method(),
+                      .path_ = aFrom.path(),
+                      .headers_ = ReadHeaders(aFrom.headers()),
+                      .body_ = MakeBody(aFrom.body()),
+                      .idempotencyKey_ = aFrom.idempotency_key(),
+                      .remaining_ = FromMicroseconds(aFrom.remaining_us()) };
+}
+
+void
+Write(const CallReply& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_call_reply();
+  Write(aFrom.id_, *to.mutable_id());
+  to.set_attempt(aFrom.attempt_);
+  to.set_outcome(static_cast<std::uint32_t>(aFrom.answer_.outcome_));
+  to.set_reason(static_cast<std::uint32_t>(aFrom.answer_.reason_));
+  to.set_status(aFrom.answer_.status_);
+  WriteHeaders(aFrom.answer_.headers_, to.mutable_headers());
+  if (aFrom.answer_.body_) {
+    to.set_body(*aFrom.answer_.body_);
+  }
+  to.set_load(aFrom.hint_.load_);
+  to.set_takes_work(aFrom.hint_.takesWork_);
+}
+
+std::optional<Payload>
+Read(const wire::CallReply& aFrom)
+{
+  if (aFrom.outcome() > static_cast<std::uint32_t>(Outcome::Unknown) ||
+      aFrom.reason() > static_cast<std::uint32_t>(Reason::Cancelled)) {
+    return std::nullopt;
+  }
+  return CallReply{ .id_ = Read(aFrom.id()),
+                    .attempt_ = aFrom.attempt(),
+                    .answer_ = { .outcome_ = static_cast<Outcome>(aFrom.outcome()),
+                                 .reason_ = static_cast<Reason>(aFrom.reason()),
+                                 .status_ = aFrom.status(),
+                                 .headers_ = ReadHeaders(aFrom.headers()),
+                                 .body_ = MakeBody(aFrom.body()) },
+                    .hint_ = { aFrom.load(), aFrom.takes_work() } };
+}
+
+void
+Write(const CallCancel& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_call_cancel();
+  Write(aFrom.id_, *to.mutable_id());
+  to.set_attempt(aFrom.attempt_);
+}
+
+Payload
+Read(const wire::CallCancel& aFrom)
+{
+  return CallCancel{ Read(aFrom.id()), aFrom.attempt() };
+}
+
+void
+Write(const VersionPull& aFrom, wire::Envelope& aEnvelope)
+{
+  Write(aFrom.have_, *aEnvelope.mutable_version_pull()->mutable_have());
+}
+
+Payload
+Read(const wire::VersionPull& aFrom)
+{
+  return VersionPull{ Read(aFrom.have()) };
+}
+
+void
+Write(const VersionPush& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_version_push();
+  Write(aFrom.delta_.from_, *to.mutable_from());
+  Write(aFrom.delta_.to_, *to.mutable_to());
+  for (const auto& [name, bytes] : aFrom.delta_.changed_) {
+    (*to.mutable_changed())[name] = *bytes;
+  }
+  for (const auto& name : aFrom.delta_.removed_) {
+    to.add_removed(name);
+  }
+  to.set_relay(aFrom.relay_);
+}
+
+Payload
+Read(const wire::VersionPush& aFrom)
+{
+  std::map<std::string, SharedBytes> changed;
+  for (const auto& [name, bytes] : aFrom.changed()) {
+    changed.emplace(name, std::make_shared<const std::string>(bytes));
+  }
+  return VersionPush{ .delta_ = { .from_ = Read(aFrom.from()),
+                                  .to_ = Read(aFrom.to()),
+                                  .changed_ = std::move(changed),
+                                  .removed_ = { aFrom.removed().begin(), aFrom.removed().end() } },
+                      .relay_ = aFrom.relay() };
+}
+
+void
+Write(const Heartbeat& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_heartbeat();
+  to.set_wants_reply(aFrom.wantsReply_);
+  for (const auto& event : aFrom.events_) {
+    auto* item = to.add_events();
+    item->set_node(event.node_.Text());
+    item->set_incarnation(event.incarnation_);
+    item->set_beat(event.beat_);
+    item->set_state(static_cast<std::uint32_t>(event.state_));
+  }
+  to.set_platform_age_us(Microseconds(aFrom.platformAge_));
+  to.set_outside_age_us(Microseconds(aFrom.outsideAge_));
+}
+
+std::optional<Payload>
+Read(const wire::Heartbeat& aFrom)
+{
+  std::vector<MemberEvent> events;
+  for (const auto& item : aFrom.events()) {
+    const auto node = NodeAddress::Parse(item.node());
+    if (!node || item.state() > static_cast<std::uint32_t>(MemberState::Gone)) {
+      return std::nullopt;
+    }
+    events.push_back({ .node_ = *node,
+                       .incarnation_ = item.incarnation(),
+                       .beat_ = item.beat(),
+                       .state_ = static_cast<MemberState>(item.state()) });
+  }
+  return Heartbeat{ .wantsReply_ = aFrom.wants_reply(),
+                    .events_ = std::move(events),
+                    .platformAge_ = FromMicroseconds(aFrom.platform_age_us()),
+                    .outsideAge_ = FromMicroseconds(aFrom.outside_age_us()) };
+}
+
+void
+Write(const LeaseRequest& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_lease_request();
+  to.set_team(aFrom.team_);
+  to.set_sequence(aFrom.sequence_);
+  to.set_wanted(aFrom.wanted_);
+  for (const auto& closure : aFrom.closures_) {
+    auto* item = to.add_closures();
+    item->set_sequence(closure.sequence_);
+    item->set_unspent(closure.unspent_);
+  }
+}
+
+Payload
+Read(const wire::LeaseRequest& aFrom)
+{
+  std::vector<LeaseClosure> closures;
+  for (const auto& item : aFrom.closures()) {
+    closures.push_back({ item.sequence(), item.unspent() });
+  }
+  return LeaseRequest{ .team_ = aFrom.team(),
+                       .sequence_ = aFrom.sequence(),
+                       .wanted_ = aFrom.wanted(),
+                       .closures_ = std::move(closures) };
+}
+
+void
+Write(const LeaseGrant& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_lease_grant();
+  to.set_team(aFrom.team_);
+  to.set_sequence(aFrom.sequence_);
+  to.set_tokens(aFrom.tokens_);
+  to.set_term_us(Microseconds(aFrom.term_));
+  to.set_retry_after_us(Microseconds(aFrom.retryAfter_));
+}
+
+Payload
+Read(const wire::LeaseGrant& aFrom)
+{
+  return LeaseGrant{ .team_ = aFrom.team(),
+                     .sequence_ = aFrom.sequence(),
+                     .tokens_ = aFrom.tokens(),
+                     .term_ = FromMicroseconds(aFrom.term_us()),
+                     .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
+}
+
+void
+Write(const HomeClaim& aFrom, wire::Envelope& aEnvelope)
+{
+  aEnvelope.mutable_home_claim()->set_number(aFrom.number_);
+}
+
+void
+Write(const HomeConfirm& aFrom, wire::Envelope& aEnvelope)
+{
+  aEnvelope.mutable_home_confirm()->set_number(aFrom.number_);
+}
+
+std::optional<Payload>
+ReadPayload(const wire::Envelope& aFrom)
+{
+  switch (aFrom.payload_case()) {
+    case wire::Envelope::kCallRequest:
+      return Read(aFrom.call_request());
+    case wire::Envelope::kCallReply:
+      return Read(aFrom.call_reply());
+    case wire::Envelope::kCallCancel:
+      return Read(aFrom.call_cancel());
+    case wire::Envelope::kVersionPull:
+      return Read(aFrom.version_pull());
+    case wire::Envelope::kVersionPush:
+      return Read(aFrom.version_push());
+    case wire::Envelope::kHeartbeat:
+      return Read(aFrom.heartbeat());
+    case wire::Envelope::kLeaseRequest:
+      return Read(aFrom.lease_request());
+    case wire::Envelope::kLeaseGrant:
+      return Read(aFrom.lease_grant());
+    case wire::Envelope::kHomeClaim:
+      return HomeClaim{ aFrom.home_claim().number() };
+    case wire::Envelope::kHomeConfirm:
+      return HomeConfirm{ aFrom.home_confirm().number() };
+    case wire::Envelope::PAYLOAD_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+} // namespace impl
+
+std::string
+EncodeEnvelope(const Envelope& aEnvelope)
+{
+  wire::Envelope message;
+  message.set_sender(aEnvelope.sender_.Text());
+  message.set_sender_incarnation(aEnvelope.senderIncarnation_);
+  message.set_receiver_incarnation(aEnvelope.receiverIncarnation_);
+  impl::Write(aEnvelope.announced_, *message.mutable_announced());
+  std::visit([&](const auto& aPayload) { impl::Write(aPayload, message); }, aEnvelope.payload_);
+  return message.SerializeAsString();
+}
+
+std::optional<Envelope>
+DecodeEnvelope(std::string_view aBytes)
+{
+  wire::Envelope message;
+  if (!message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return std::nullopt;
+  }
+  const auto sender = NodeAddress::Parse(message.sender());
+  auto payload = impl::ReadPayload(message);
+  if (!sender || !payload) {
+    return std::nullopt;
+  }
+  return Envelope{ .sender_ = *sender,
+                   .senderIncarnation_ = message.sender_incarnation(),
+                   .receiverIncarnation_ = message.receiver_incarnation(),
+                   .announced_ = impl::Read(message.announced()),
+                   .payload_ = std::move(*payload) };
+}
+
+std::string
+AuthenticationTag(std::string_view aBytes, std::string_view aPeerKey)
+{
+  std::string tag(impl::kTagBytes, '\0');
+  unsigned length = 0;
+  HMAC(EVP_sha256(),
+       aPeerKey.data(),
+       static_cast<int>(aPeerKey.size()),
+       reinterpret_cast<const unsigned char*>(aBytes.data()),
+       aBytes.size(),
+       reinterpret_cast<unsigned char*>(tag.data()),
+       &length);
+  return tag;
+}
+
+bool
+IsAuthentic(std::string_view aBytes, std::string_view aTag, std::string_view aPeerKey)
+{
+  const auto expected = AuthenticationTag(aBytes, aPeerKey);
+  return aTag.size() == expected.size() &&
+         CRYPTO_memcmp(aTag.data(), expected.data(), expected.size()) == 0;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/connection/peer_codec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "geraniumpin/connection/message.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace geraniumpin {
+
+/// \brief Encodes a message for the wire.
+[[nodiscard]] std::string
+EncodeEnvelope(const Envelope& aEnvelope);
+
+/// \brief Decodes a message.
+/// \returns Nothing if the bytes are malformed, incomplete or hold values out of range.
+[[nodiscard]] std::optional<Envelope>
+DecodeEnvelope(std::string_view aBytes);
+
+/// \brief Computes the authentication tag of an encoded message.
+[[nodiscard]] std::string
+AuthenticationTag(std::string_view aBytes, std::string_view aPeerKey);
+
+/// \brief Checks an authentication tag in constant time.
+[[nodiscard]] bool
+IsAuthentic(std::string_view aBytes, std::string_view aTag, std::string_view aPeerKey);
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/connection/peer_transport.cpp
@@ -0,0 +1,213 @@
+#include "peer_transport.hpp"
+
+#include "peer_codec.hpp"
+
+#include <glog/logging.h>
+#include <map>
+#include <optional>
+#include <vector>
+#include <zmq.hpp>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr int kQueuedMessages = 1000; // per link and direction
+constexpr int kLingerMs = 500;        // to flush replies when the process stops
+constexpr int kReconnectMs = 50;
+constexpr int kMostReconnectMs = 1000;
+constexpr std::chrono::seconds kIdleLink{ 60 }; // after which a link is closed
+constexpr std::chrono::seconds kSweepPeriod{ 10 };
+constexpr std::size_t kMostPerTurn = 256; // messages received before others get a turn
+
+std::string_view
+View(const zmq::message_t& aMessage)
+{
+  return { static_cast<const char*>(aMessage.data()), aMessage.size() };
+}
+
+} // namespace
+} // namespace impl
+
+/// \brief The sockets and their counters.
+struct ZmqPeerTransport::Impl
+{
+  struct Link
+  {
+    zmq::socket_t socket_;
+    TimePoint usedAt_;
+  };
+
+  Impl(EventLoop& aLoop,
+       const NodeAddress& aSelf,
+       std::string aPeerKey,
+       std::size_t aMostMessageBytes,
+       Receiver aReceiver)
+    : self_(aSelf)
+    , peerKey_(std::move(aPeerKey))
+    , receiver_(std::move(aReceiver))
+    , inbound_(context_, zmq::socket_type::pull)
+  {
+    inbound_.set(zmq::sockopt::rcvhwm, impl::kQueuedMessages);
+    inbound_.set(zmq::sockopt::linger, 0);
+    inbound_.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(aMostMessageBytes));
+    try {
+      inbound_.bind("tcp://" + aSelf.Text());
+    } catch (const zmq::error_t& error) {
+      LOG(FATAL) << "event=listen_failed address=" << aSelf.Text() << " error=\"" << error.what()
+                 << "\"";
+    }
+    watch_ =
+      std::make_unique<FdWatch>(aLoop, inbound_.get(zmq::sockopt::fd), [this] { ReceiveAll(); });
+  }
+
+  /// The descriptor signals only changes, so everything is read until ZeroMQ has no more.
+  void ReceiveAll()
+  {
+    while ((inbound_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+      std::vector<Envelope> batch;
+      while (batch.size() < impl::kMostPerTurn) {
+        auto envelope = ReceiveOne();
+        if (!envelope) {
+          break;
+        }
+        batch.push_back(std::move(*envelope));
+      }
+      Deliver(batch);
+    }
+  }
+
+  /// Cancellations go first, so that a process that wakes late starts nothing in vain.
+  void Deliver(const std::vector<Envelope>& aBatch)
+  {
+    const auto isCancel = [](const Envelope& aEnvelope) {
+      return std::holds_alternative<CallCancel>(aEnvelope.payload_);
+    };
+    for (const auto& envelope : aBatch) {
+      if (isCancel(envelope)) {
+        receiver_(envelope);
+      }
+    }
+    for (const auto& envelope : aBatch) {
+      if (!isCancel(envelope)) {
+        receiver_(envelope);
+      }
+    }
+  }
+
+  std::optional<Envelope> ReceiveOne()
+  {
+    zmq::message_t body;
+    while (inbound_.recv(body, zmq::recv_flags::dontwait)) {
+      zmq::message_t tag;
+      const bool hasTag = body.more() && inbound_.recv(tag, zmq::recv_flags::dontwait).has_value();
+      const bool complete = hasTag && !tag.more();
+      DiscardRest(hasTag ? tag.more() : body.more());
+      counters_.receivedMessages_ += 1;
+      counters_.receivedBytes_ += body.size() + tag.size();
+      if (complete && IsAuthentic(impl::View(body), impl::View(tag), peerKey_)) {
+        if (auto envelope = DecodeEnvelope(impl::View(body))) {
+          return envelope;
+        }
+      }
+      counters_.refusedMessages_ += 1;
+    }
+    return std::nullopt;
+  }
+
+  void DiscardRest(bool aMore)
+  {
+    while (aMore) {
+      zmq::message_t rest;
+      if (!inbound_.recv(rest, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      aMore = rest.more();
+    }
+  }
+
+  void Send(const NodeAddress& aPeer, const Envelope& aMessage)
+  {
+    const auto now = clock_.Now();
+    CloseIdle(now);
+    auto& link = LinkTo(aPeer);
+    link.usedAt_ = now;
+    const auto bytes = EncodeEnvelope(aMessage);
+    const auto tag = AuthenticationTag(bytes, peerKey_);
+    const auto flags = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
+    if (!link.socket_.send(zmq::buffer(bytes), flags)) {
+      counters_.droppedMessages_ += 1;
+      return;
+    }
+    (void)link.socket_.send(zmq::buffer(tag), zmq::send_flags::dontwait);
+    counters_.sentMessages_ += 1;
+    counters_.sentBytes_ += bytes.size() + tag.size();
+  }
+
+  Link& LinkTo(const NodeAddress& aPeer)
+  {
+    const auto found = links_.find(aPeer);
+    if (found != links_.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket(context_, zmq::socket_type::push);
+    socket.set(zmq::sockopt::sndhwm, impl::kQueuedMessages);
+    socket.set(zmq::sockopt::linger, impl::kLingerMs);
+    socket.set(zmq::sockopt::reconnect_ivl, impl::kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, impl::kMostReconnectMs);
+    // The own IP number as the source, so that peers and firewalls can tell who connects.
+    socket.connect("tcp://" + self_.Ip() + ":0;" + aPeer.Text());
+    return links_.emplace(aPeer, Link{ std::move(socket), {} }).first->second;
+  }
+
+  void CloseIdle(TimePoint aNow)
+  {
+    if (aNow < nextSweep_) {
+      return;
+    }
+    nextSweep_ = aNow + impl::kSweepPeriod;
+    std::erase_if(
+      links_, [&](const auto& aEntry) { return aNow - aEntry.second.usedAt_ > impl::kIdleLink; });
+  }
+
+  SystemClock clock_;
+  NodeAddress self_;
+  std::string peerKey_;
+  Receiver receiver_;
+  zmq::context_t context_{ 1 };
+  zmq::socket_t inbound_;
+  std::map<NodeAddress, Link> links_;
+  std::unique_ptr<FdWatch> watch_;
+  TransportCounters counters_;
+  TimePoint nextSweep_;
+};
+
+ZmqPeerTransport::ZmqPeerTransport(EventLoop& aLoop,
+                                   const NodeAddress& aSelf,
+                                   std::string aPeerKey,
+                                   std::size_t aMostMessageBytes,
+                                   Receiver aReceiver)
+  : impl_(std::make_unique<Impl>(aLoop,
+                                 aSelf,
+                                 std::move(aPeerKey),
+                                 aMostMessageBytes,
+                                 std::move(aReceiver)))
+{
+}
+
+ZmqPeerTransport::~ZmqPeerTransport() = default;
+
+void
+ZmqPeerTransport::Send(const NodeAddress& aPeer, const Envelope& aMessage)
+{
+  impl_->Send(aPeer, aMessage);
+}
+
+const TransportCounters&
+ZmqPeerTransport::Counters() const noexcept
+{
+  return impl_->counters_;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/admin_gateway.cpp
@@ -0,0 +1,113 @@
+#include "admin_gateway.hpp"
+
+#include "../request/caller_gateway.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::size_t kMostBodyBytes = 1024;
+
+HttpResponse
+JsonResponse(int aStatus, const nlohmann::json& aJson)
+{
+  return { .status_ = aStatus,
+           .headers_ = { { "content-type", "application/json" } },
+           .body_ = MakeBody(aJson.dump() + "\n") };
+}
+
+} // namespace
+} // namespace impl
+
+nlohmann::json
+EncodeStatus(const NodeStatus& aStatus)
+{
+  return { { "node", aStatus.node_.Text() },
+           { "failure_domain", aStatus.failureDomain_ },
+           { "incarnation", aStatus.incarnation_ },
+           { "version", aStatus.version_.number_ },
+           { "digest", aStatus.version_.digest_.Hex() },
+           { "state", ToString(aStatus.state_) },
+           { "watcher", aStatus.watcher_ },
+           { "home_teams", aStatus.homeTeams_ },
+           { "home_authorized", aStatus.homeAuthorized_ },
+           { "entry_calls", aStatus.entryCalls_ },
+           { "owned_attempts", aStatus.ownedAttempts_ },
+           { "queued", aStatus.queued_ },
+           { "concurrency_limit", aStatus.concurrencyLimit_ } };
+}
+
+AdminGateway::AdminGateway(EventLoop& aLoop, const NodeAddress& aAddress, AdminSources aSources)
+  : sources_(std::move(aSources))
+  , server_(
+      aLoop,
+      aAddress,
+      impl::kMostBodyBytes,
+      { [this](ExchangeId aId, const HttpRequest& aRequest) { OnRequest(aId, aRequest); }, {} })
+{
+}
+
+void
+AdminGateway::OnRequest(ExchangeId aId, const HttpRequest& aRequest)
+{
+  const auto path = aRequest.path_.substr(0, aRequest.path_.find('?'));
+  if (path == "/status") {
+    server_.Respond(aId, impl::JsonResponse(200, EncodeStatus(sources_.status_())));
+  } else if (path == "/metrics") {
+    server_.Respond(aId, impl::JsonResponse(200, Metrics()));
+  } else if (path == "/explain") {
+    server_.Respond(aId, impl::JsonResponse(200, Explain(aRequest)));
+  } else {
+    server_.Respond(aId, impl::JsonResponse(404, { { "error", "unknown path" } }));
+  }
+}
+
+nlohmann::json
+AdminGateway::Metrics() const
+{
+  const auto& metrics = sources_.metrics_();
+  nlohmann::json durations = nlohmann::json::object();
+  for (const auto& [name, summary] : metrics.Durations()) {
+    durations[name] = { { "count", summary.count_ },
+                        { "mean", summary.mean_ },
+                        { "p50", summary.median_ },
+                        { "p99", summary.p99_ },
+                        { "max", summary.max_ } };
+  }
+  const auto transport = sources_.transport_();
+  return { { "counters", metrics.Counters() },
+           { "durations_ms", durations },
+           { "transport",
+             { { "sent_messages", transport.sentMessages_ },
+               { "sent_bytes", transport.sentBytes_ },
+               { "received_messages", transport.receivedMessages_ },
+               { "received_bytes", transport.receivedBytes_ },
+               { "refused_messages", transport.refusedMessages_ },
+               { "dropped_messages", transport.droppedMessages_ } } } };
+}
+
+nlohmann::json
+AdminGateway::Explain(const HttpRequest& aRequest) const
+{
+  const auto key = KeyOf(aRequest.headers_);
+  const auto digest = key.empty() ? std::nullopt : std::optional(Digest::Of(key));
+  const auto explanation = sources_.explain_(
+    QueryParameter(aRequest.path_, "method"), QueryParameter(aRequest.path_, "path"), digest);
+  if (!explanation) {
+    return { { "refused", ToString(explanation.error()) } };
+  }
+  nlohmann::json candidates = nlohmann::json::array();
+  for (const auto& candidate : explanation->candidates_) {
+    candidates.push_back({ { "backend_server", candidate.backendServer_ },
+                           { "local", candidate.local_ },
+                           { "load", candidate.load_ } });
+  }
+  return { { "version", explanation->version_ }, { "route", explanation->route_ },
+           { "team", explanation->team_ },       { "service", explanation->service_ },
+           { "candidates", candidates },         { "chosen", explanation->chosen_ } };
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/admin_gateway.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "../connection/http_server.hpp"
+#include "../connection/peer_transport.hpp"
+#include "geraniumpin/process/metrics.hpp"
+#include "geraniumpin/process/node_status.hpp"
+#include "geraniumpin/request/outcome.hpp"
+
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace geraniumpin {
+
+/// \brief What the operators' address shows of a node.
+struct AdminSources
+{
+  std::function<NodeStatus()> status_;
+  std::function<const Metrics&()> metrics_;
+  std::function<TransportCounters()> transport_;
+  std::function<tl::expected<Explanation, Reason>(const std::string& aMethod,
+                                                  const std::string& aPath,
+                                                  const std::optional<Digest>& aKeyDigest)>
+    explain_;
+};
+
+/// \brief Serves operators: GET /status, /metrics and /explain?method=M&path=P, all as JSON.
+class AdminGateway
+{
+public:
+  AdminGateway(EventLoop& aLoop, const NodeAddress& aAddress, AdminSources aSources);
+
+private:
+  void OnRequest(ExchangeId aId, const HttpRequest& aRequest);
+  [[nodiscard]] nlohmann::json Metrics() const;
+  [[nodiscard]] nlohmann::json Explain(const HttpRequest& aRequest) const;
+
+  AdminSources sources_;
+  HttpServer server_;
+};
+
+/// \brief Encodes a status as JSON.
+[[nodiscard]] nlohmann::json
+EncodeStatus(const NodeStatus& aStatus);
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/event_loop.cpp
@@ -0,0 +1,67 @@
+#include "event_loop.hpp"
+
+#include "system_clock.hpp"
+
+#include <algorithm>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <h2o.h>
+#include <utility>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestSleep{ 60000 };
+
+} // namespace
+} // namespace impl
+
+EventLoop::EventLoop()
+  : loop_(h2o_evloop_create())
+{
+}
+
+EventLoop::~EventLoop() = default; // h2o 2.2 cannot destroy an epoll loop; the process ends with it
+
+void
+EventLoop::RunOnce(TimePoint aUntil)
+{
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(aUntil - SystemClock{}.Now());
+  const auto bounded = std::clamp(wait, std::chrono::milliseconds(0), impl::kLongestSleep);
+  const bool sleeps = !std::exchange(skipSleep_, false);
+  inTurn_ = true;
+  h2o_evloop_run(loop_, sleeps ? static_cast<std::int32_t>(bounded.count()) : 0);
+  inTurn_ = false;
+}
+
+void
+EventLoop::SkipSleep()
+{
+  skipSleep_ = skipSleep_ || !inTurn_;
+}
+
+FdWatch::FdWatch(EventLoop& aLoop, int aFd, std::function<void()> aOnReadable)
+  : onReadable_(std::move(aOnReadable))
+{
+  // The loop closes its descriptor, so it gets a duplicate.
+  const int duplicate = fcntl(aFd, F_DUPFD_CLOEXEC, 0);
+  PCHECK(duplicate >= 0) << "event=fd_watch_failed";
+  socket_ = h2o_evloop_socket_create(aLoop.Native(), duplicate, H2O_SOCKET_FLAG_DONT_READ);
+  socket_->data = this;
+  h2o_socket_read_start(socket_, OnReadable);
+}
+
+FdWatch::~FdWatch()
+{
+  h2o_socket_close(socket_);
+}
+
+void
+FdWatch::OnReadable(st_h2o_socket_t* aSocket, const char* /*aError*/)
+{
+  static_cast<FdWatch*>(aSocket->data)->onReadable_();
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/secure_random.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <limits>
+
+namespace geraniumpin {
+
+/// \brief Random numbers that nobody can predict; satisfies Random.
+class SecureRandom
+{
+public:
+  using result_type = std::uint64_t;
+
+  [[nodiscard]] static constexpr result_type min() noexcept { return 0; }
+  [[nodiscard]] static constexpr result_type max() noexcept
+  {
+    return std::numeric_limits<result_type>::max();
+  }
+  result_type operator()();
+
+private:
+  static constexpr std::size_t kBatch = 64;
+
+  std::array<result_type, kBatch> batch_{};
+  std::size_t next_ = kBatch;
+};
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/settings_json.cpp
@@ -0,0 +1,133 @@
+#include "settings_json.hpp"
+
+#include "../version/json_text.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::string_view kSettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["peer_address", "caller_address", "admin_address", "failure_domain",
+               "backend_server", "platform", "peer_key"],
+  "properties": {
+    "peer_address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "peer_listen": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "caller_address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "admin_address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "failure_domain": { "type": "string", "minLength": 1, "maxLength": 63 },
+    "backend_server": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "platform": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "seeds": { "type": "array", "items": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" } },
+    "peer_key": { "type": "string", "minLength": 16 },
+    "max_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
+    "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
+  }
+})json";
+
+/// Reads addresses and notes those that are no IP number with a port.
+class AddressReader
+{
+public:
+  explicit AddressReader(const JsonText& aText)
+    : text_(aText)
+  {
+  }
+
+  NodeAddress Read(const std::string& aPath)
+  {
+    const auto pointer = nlohmann::json::json_pointer(aPath);
+    auto address = NodeAddress::Parse(text_.Root().at(pointer).get<std::string>());
+    if (!address) {
+      faults_.push_back(text_.FaultAt(aPath, "expected an IP number and a port"));
+      return {};
+    }
+    return *address;
+  }
+
+  [[nodiscard]] const Faults& Found() const noexcept { return faults_; }
+
+private:
+  const JsonText& text_;
+  Faults faults_;
+};
+
+SettingsBuilder
+FillBuilder(const std::string& aSource, const nlohmann::json& aRoot, AddressReader& aReader)
+{
+  SettingsBuilder builder(aSource);
+  builder.PeerAddress(aReader.Read("/peer_address"))
+    .CallerAddress(aReader.Read("/caller_address"))
+    .AdminAddress(aReader.Read("/admin_address"))
+    .BackendServerAddress(aReader.Read("/backend_server"))
+    .PlatformAddress(aReader.Read("/platform"))
+    .FailureDomainName(aRoot.at("failure_domain"))
+    .PeerKey(aRoot.at("peer_key"));
+  if (aRoot.contains("peer_listen")) {
+    builder.PeerListenAddress(aReader.Read("/peer_listen"));
+  }
+  std::vector<NodeAddress> seeds;
+  if (aRoot.contains("seeds")) {
+    for (std::size_t i = 0; i < aRoot.at("seeds").size(); ++i) {
+      seeds.push_back(aReader.Read("/seeds/" + std::to_string(i)));
+    }
+  }
+  builder.Seeds(std::move(seeds));
+  if (aRoot.contains("max_body_bytes")) {
+    builder.MostBodyBytes(aRoot.at("max_body_bytes"));
+  }
+  if (aRoot.contains("drain_timeout_ms")) {
+    builder.DrainTimeout(std::chrono::milliseconds(aRoot.at("drain_timeout_ms")));
+  }
+  return builder;
+}
+
+} // namespace
+} // namespace impl
+
+tl::expected<Settings, Faults>
+ParseSettings(const std::string& aSource, std::string_view aText)
+{
+  static const JsonSchema kSchema(impl::kSettingsSchema);
+  const auto text = JsonText::Parse(aSource, aText);
+  if (!text) {
+    return tl::make_unexpected(text.error());
+  }
+  auto faults = text->Check(kSchema);
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  impl::AddressReader reader(*text);
+  const auto builder = impl::FillBuilder(aSource, text->Root(), reader);
+  if (!reader.Found().empty()) {
+    return tl::make_unexpected(reader.Found());
+  }
+  auto settings = builder.Build();
+  if (settings) {
+    return settings;
+  }
+  Faults located;
+  for (const auto& fault : settings.error()) {
+    located.push_back(text->FaultAt(fault.path_, "expected " + fault.description_));
+  }
+  return tl::make_unexpected(std::move(located));
+}
+
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/signal_watch.cpp
@@ -0,0 +1,34 @@
+#include "signal_watch.hpp"
+
+#include <csignal>
+#include <glog/logging.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace geraniumpin {
+
+SignalWatch::SignalWatch(EventLoop& aLoop)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  fd_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  PCHECK(fd_ >= 0) << "event=signalfd_failed";
+  watch_ = std::make_unique<FdWatch>(aLoop, fd_, [this] {
+    signalfd_siginfo info{};
+    if (read(fd_, &info, sizeof info) == sizeof info) {
+      stopRequested_ = true;
+    }
+  });
+}
+
+SignalWatch::~SignalWatch()
+{
+  watch_.reset();
+  close(fd_);
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/system_clock.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+
+#include <cstdint>
+
+namespace geraniumpin {
+
+/// \brief The machine's clock that also counts while the VM is suspended; satisfies Clock.
+class SystemClock
+{
+public:
+  [[nodiscard]] TimePoint Now() const noexcept;
+};
+
+/// \brief Returns a number that grows from one start of a process to the next.
+[[nodiscard]] std::uint64_t
+MakeIncarnation() noexcept;
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/request/http_message.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "geraniumpin/request/call.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace geraniumpin {
+
+/// \brief A request as the HTTP server received it.
+struct HttpRequest
+{
+  const std::string method_;
+  const std::string path_; ///< with the query
+  const HeaderFields headers_;
+  const Body body_;
+};
+
+/// \brief A response to send.
+struct HttpResponse
+{
+  const int status_ = 200;
+  const HeaderFields headers_;
+  const Body body_;
+};
+
+/// \brief Finds the value of the first field of that lower-case name; empty if there is none.
+[[nodiscard]] std::string_view
+FindHeader(const HeaderFields& aFields, std::string_view aName) noexcept;
+
+/// \brief Says whether a field concerns one connection only and must not be passed on.
+[[nodiscard]] bool
+IsHopByHop(std::string_view aName) noexcept;
+
+/// \brief Returns the standard reason phrase of a status.
+[[nodiscard]] const char*
+ReasonPhrase(int aStatus) noexcept;
+
+/// \brief Returns the value of a query parameter, percent-decoded; empty if it is missing.
+[[nodiscard]] std::string
+QueryParameter(std::string_view aPath, std::string_view aName);
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/version/json_text.cpp
@@ -0,0 +1,323 @@
+#include "json_text.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::size_t kMostFoundLength = 60; // characters of a value quoted in a fault
+constexpr std::string_view kSecretField = "/peer_key";
+constexpr std::string_view kBetweenValues = " \t\r\n,:";
+
+/// Reads characters and counts them, so that the parser's progress can be observed.
+class CountingIterator
+{
+public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  CountingIterator(const char* aPosition, std::size_t* aCount)
+    : position_(aPosition)
+    , count_(aCount)
+  {
+  }
+  reference operator*() const { return *position_; }
+  CountingIterator& operator++()
+  {
+    ++position_;
+    ++*count_;
+    return *this;
+  }
+  bool operator==(const CountingIterator& aOther) const { return position_ == aOther.position_; }
+  bool operator!=(const CountingIterator& aOther) const { return position_ != aOther.position_; }
+
+private:
+  const char* position_;
+  std::size_t* count_;
+};
+
+std::string
+EscapePointer(const std::string& aKey)
+{
+  std::string escaped;
+  for (const char character : aKey) {
+    escaped += character == '~' ? "~0" : character == '/' ? "~1" : std::string(1, character);
+  }
+  return escaped;
+}
+
+/// Notes the offset of each value while the parser runs over the text.
+class OffsetRecorder : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+  OffsetRecorder(std::string_view aText, const std::size_t& aCount)
+    : text_(aText)
+    , count_(aCount)
+  {
+  }
+
+  bool null() override { return Value(); }
+  bool boolean(bool /*aValue*/) override { return Value(); }
+  bool number_integer(number_integer_t /*aValue*/) override { return Value(); }
+  bool number_unsigned(number_unsigned_t /*aValue*/) override { return Value(); }
+  bool number_float(number_float_t /*aValue*/, const string_t& /*aText*/) override
+  {
+    return Value();
+  }
+  bool string(string_t& /*aValue*/) override { return Value(); }
+  bool binary(binary_t& /*aValue*/) override { return Value(); }
+  bool start_object(std::size_t /*aSize*/) override { return Open(false); }
+  bool start_array(std::size_t /*aSize*/) override { return Open(true); }
+  bool end_object() override { return Close(); }
+  bool end_array() override { return Close(); }
+  bool key(string_t& aKey) override
+  {
+    levels_.back().key_ = aKey;
+    previousEnd_ = count_;
+    return true;
+  }
+  bool parse_error(std::size_t aPosition,
+                   const std::string& /*aToken*/,
+                   const nlohmann::detail::exception& aException) override
+  {
+    errorOffset_ = aPosition > 0 ? aPosition - 1 : 0;
+    error_ = aException.what();
+    return false;
+  }
+
+  [[nodiscard]] const std::map<std::string, std::size_t>& Offsets() const { return offsets_; }
+  [[nodiscard]] const std::string& Error() const { return error_; }
+  [[nodiscard]] std::size_t ErrorOffset() const { return errorOffset_; }
+
+private:
+  struct Level
+  {
+    bool isArray_ = false;
+    std::size_t index_ = 0;
+    std::string key_;
+    std::string path_;
+  };
+
+  bool Value()
+  {
+    Note();
+    previousEnd_ = count_;
+    return true;
+  }
+  bool Open(bool aIsArray)
+  {
+    const auto path = Note();
+    levels_.push_back({ .isArray_ = aIsArray, .path_ = path });
+    previousEnd_ = count_;
+    return true;
+  }
+  bool Close()
+  {
+    levels_.pop_back();
+    previousEnd_ = count_;
+    return true;
+  }
+  std::string Note()
+  {
+    std::string path;
+    if (!levels_.empty()) {
+      auto& level = levels_.back();
+      path = level.path_ + "/" +
+             (level.isArray_ ? std::to_string(level.index_++) : EscapePointer(level.key_));
+    }
+    const auto start = text_.find_first_not_of(kBetweenValues, previousEnd_);
+    offsets_.emplace(path, std::min(start, text_.size()));
+    return path;
+  }
+
+  std::string_view text_;
+  const std::size_t& count_;
+  std::size_t previousEnd_ = 0;
+  std::vector<Level> levels_;
+  std::map<std::string, std::size_t> offsets_;
+  std::string error_;
+  std::size_t errorOffset_ = 0;
+};
+
+std::vector<std::size_t>
+LineStarts(std::string_view aText)
+{
+  std::vector<std::size_t> starts{ 0 };
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '\n') {
+      starts.push_back(i + 1);
+    }
+  }
+  return starts;
+}
+
+SourcePosition
+PositionAt(const std::vector<std::size_t>& aLineStarts, std::size_t aOffset)
+{
+  const auto next = std::upper_bound(aLineStarts.begin(), aLineStarts.end(), aOffset);
+  const auto line = static_cast<std::size_t>(next - aLineStarts.begin());
+  return { .line_ = line, .column_ = aOffset - aLineStarts[line - 1] + 1 };
+}
+
+/// Turns valijson's context, "<root>", "[services]", "[0]", into a JSON pointer.
+std::string
+PointerOf(const std::vector<std::string>& aContext)
+{
+  std::string pointer;
+  for (const auto& step : aContext) {
+    if (step.size() > 2 && step.front() == '[') {
+      pointer += "/" + EscapePointer(step.substr(1, step.size() - 2));
+    }
+  }
+  return pointer;
+}
+
+/// Finds the part of a schema that describes the value at a pointer.
+const nlohmann::json&
+SubSchema(const nlohmann::json& aSchema, const std::string& aPointer)
+{
+  const auto* schema = &aSchema;
+  for (auto pointer = nlohmann::json::json_pointer(aPointer); !pointer.empty();) {
+    std::vector<std::string> steps;
+    for (; !pointer.empty(); pointer.pop_back()) {
+      steps.push_back(pointer.back());
+    }
+    for (auto step = steps.rbegin(); step != steps.rend(); ++step) {
+      if (schema->contains("items")) {
+        schema = &schema->at("items");
+      } else if (schema->contains("properties") && schema->at("properties").contains(*step)) {
+        schema = &schema->at("properties").at(*step);
+      }
+    }
+  }
+  return *schema;
+}
+
+std::string
+Expectation(const nlohmann::json& aSchema)
+{
+  std::string text = "expected";
+  for (const auto* keyword : { "type",
+                               "enum",
+                               "minimum",
+                               "exclusiveMinimum",
+                               "maximum",
+                               "minLength",
+                               "maxLength",
+                               "minItems",
+                               "pattern",
+                               "required" }) {
+    if (aSchema.contains(keyword)) {
+      text += std::string(" ") + keyword + " " + aSchema.at(keyword).dump();
+    }
+  }
+  return text;
+}
+
+/// Returns the name that an "unknown property" error quotes at its end.
+std::string
+QuotedName(const std::string& aDescription)
+{
+  const auto end = aDescription.rfind('\'');
+  const auto start = aDescription.rfind('\'', end == 0 ? 0 : end - 1);
+  if (end == std::string::npos || start == std::string::npos || start >= end) {
+    return {};
+  }
+  return aDescription.substr(start + 1, end - start - 1);
+}
+
+} // namespace
+} // namespace impl
+
+JsonSchema::JsonSchema(std::string_view aText)
+  : root_(nlohmann::json::parse(aText))
+{
+}
+
+tl::expected<JsonText, Faults>
+JsonText::Parse(std::string aSource, std::string_view aText)
+{
+  JsonText result;
+  result.source_ = std::move(aSource);
+  result.lineStarts_ = impl::LineStarts(aText);
+  std::size_t count = 0;
+  impl::OffsetRecorder recorder(aText, count);
+  const impl::CountingIterator begin(aText.data(), &count);
+  const impl::CountingIterator end(aText.data() + aText.size(), &count);
+  if (!nlohmann::json::sax_parse(begin, end, &recorder)) {
+    return tl::make_unexpected(
+      Faults{ { .source_ = result.source_,
+                .path_ = "",
+                .position_ = impl::PositionAt(result.lineStarts_, recorder.ErrorOffset()),
+                .description_ = "not valid JSON: " + recorder.Error(),
+                .found_ = "" } });
+  }
+  result.offsets_ = recorder.Offsets();
+  result.root_ = nlohmann::json::parse(aText);
+  return result;
+}
+
+Fault
+JsonText::FaultAt(const std::string& aPath, std::string aDescription) const
+{
+  const auto offset = offsets_.find(aPath);
+  const auto pointer = nlohmann::json::json_pointer(aPath);
+  auto found = root_.contains(pointer) ? root_.at(pointer).dump() : std::string("nothing");
+  if (aPath.ends_with(impl::kSecretField)) {
+    found = "a value that is not shown";
+  }
+  if (found.size() > impl::kMostFoundLength) {
+    found = found.substr(0, impl::kMostFoundLength) + "...";
+  }
+  return { .source_ = source_,
+           .path_ = aPath,
+           .position_ =
+             impl::PositionAt(lineStarts_, offset == offsets_.end() ? 0 : offset->second),
+           .description_ = std::move(aDescription),
+           .found_ = std::move(found) };
+}
+
+Faults
+JsonText::Check(const JsonSchema& aSchema) const
+{
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(aSchema.Root()), schema);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(root_), &results);
+  Faults faults;
+  std::set<std::string> reported;
+  for (const auto& error : results) {
+    auto path = impl::PointerOf(error.context);
+    const auto& subSchema = impl::SubSchema(aSchema.Root(), path);
+    std::string expected = impl::Expectation(subSchema);
+    const auto property = path + "/" + impl::EscapePointer(impl::QuotedName(error.description));
+    const bool isUnknown = error.description.find("additionalProperties") != std::string::npos;
+    if (isUnknown && offsets_.contains(property)) {
+      path = property;
+      expected = "unknown field";
+    }
+    // A parent reports "failed to validate" once more for each fault below it.
+    const bool repeats = std::any_of(reported.begin(), reported.end(), [&](const auto& aOther) {
+      return aOther.starts_with(path);
+    });
+    if (!repeats && reported.insert(path).second) {
+      faults.push_back(FaultAt(path, expected));
+    }
+  }
+  return faults;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/process/concurrency_controller.cpp
@@ -0,0 +1,108 @@
+#include "geraniumpin/process/concurrency_controller.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+// Share by which a higher latency raises the baseline; a lower one replaces it at once.
+constexpr double kBaselineDrift = 0.01;
+
+double
+LatencySeconds(const WorkSample& aSample) noexcept
+{
+  return std::chrono::duration<double>(aSample.endedAt_ - aSample.startedAt_).count();
+}
+
+double
+UpdatedBaseline(double aBaseline, double aLatency) noexcept
+{
+  if (aBaseline <= 0 || aLatency < aBaseline) {
+    return aLatency;
+  }
+  return aBaseline + kBaselineDrift * (aLatency - aBaseline);
+}
+
+double
+Clamped(double aLimit, double aCeiling) noexcept
+{
+  return std::clamp(aLimit, 1.0, std::max(1.0, aCeiling));
+}
+
+} // namespace
+} // namespace impl
+
+AimdController
+AimdController::After(const WorkSample& aSample) const noexcept
+{
+  auto next = *this;
+  if (aSample.result_ == WorkResult::Ignored) {
+    return next;
+  }
+  const bool staleSignal = aSample.startedAt_ < decreasedAt_;
+  if (aSample.result_ == WorkResult::Shed) {
+    if (!staleSignal) {
+      next.Decrease(kShedFactor, aSample.endedAt_);
+    }
+    return next;
+  }
+  const double latency = impl::LatencySeconds(aSample);
+  next.baseline_ = impl::UpdatedBaseline(baseline_, latency);
+  const bool slow = baseline_ > 0 && latency > kSlowRatio * baseline_;
+  if (slow && !staleSignal) {
+    next.Decrease(kSlowFactor, aSample.endedAt_);
+  } else if (!slow && aSample.inFlight_ + 1 >= limit_) {
+    next.limit_ = impl::Clamped(limit_ + 1 / limit_, ceiling_);
+  }
+  return next;
+}
+
+AimdController
+AimdController::WithCeiling(std::uint32_t aMost) const noexcept
+{
+  auto next = *this;
+  next.ceiling_ = aMost;
+  next.limit_ = impl::Clamped(limit_, next.ceiling_);
+  return next;
+}
+
+void
+AimdController::Decrease(double aFactor, TimePoint aNow) noexcept
+{
+  limit_ = impl::Clamped(limit_ * aFactor, ceiling_);
+  decreasedAt_ = aNow;
+}
+
+GradientController
+GradientController::After(const WorkSample& aSample) const noexcept
+{
+  auto next = *this;
+  if (aSample.result_ == WorkResult::Ignored) {
+    return next;
+  }
+  if (aSample.result_ == WorkResult::Shed) {
+    next.limit_ = impl::Clamped(limit_ * (1 - kSmoothing), ceiling_);
+    return next;
+  }
+  const double latency = std::max(1e-6, impl::LatencySeconds(aSample));
+  next.longTerm_ = impl::UpdatedBaseline(longTerm_, latency);
+  const double gradient = std::clamp(kTolerance * next.longTerm_ / latency, 0.5, 1.0);
+  const double room = aSample.inFlight_ + 1 >= limit_ ? std::sqrt(limit_) : 0;
+  const double target = limit_ * gradient + room;
+  next.limit_ = impl::Clamped(limit_ * (1 - kSmoothing) + target * kSmoothing, ceiling_);
+  return next;
+}
+
+GradientController
+GradientController::WithCeiling(std::uint32_t aMost) const noexcept
+{
+  auto next = *this;
+  next.ceiling_ = aMost;
+  next.limit_ = impl::Clamped(limit_, next.ceiling_);
+  return next;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/process/home_authority.cpp
@@ -0,0 +1,75 @@
+#include "geraniumpin/process/home_authority.hpp"
+
+#include "geraniumpin/process/limit_home.hpp"
+
+#include <algorithm>
+
+namespace geraniumpin {
+
+void
+HomeAuthority::Begin(std::uint64_t aNumber, const std::vector<NodeAddress>& aNodes, TimePoint aNow)
+{
+  active_ = true;
+  number_ = aNumber;
+  missing_ = { aNodes.begin(), aNodes.end() };
+  settledAt_ = aNow;
+  nextRepeat_ = aNow;
+}
+
+void
+HomeAuthority::OnVersion(const NodeAddress& aNode, std::uint64_t aNumber, TimePoint aNow)
+{
+  if (!active_) {
+    return;
+  }
+  highestStated_ = std::max(highestStated_, aNumber);
+  if (aNumber >= number_) {
+    Settle(aNode, aNow);
+  }
+}
+
+void
+HomeAuthority::OnGone(const NodeAddress& aNode, TimePoint aNow)
+{
+  Settle(aNode, aNow);
+}
+
+void
+HomeAuthority::Settle(const NodeAddress& aNode, TimePoint aNow)
+{
+  if (active_ && missing_.erase(aNode) > 0) {
+    settledAt_ = aNow;
+  }
+}
+
+std::vector<NodeAddress>
+HomeAuthority::Due(TimePoint aNow)
+{
+  if (!active_ || missing_.empty() || aNow < nextRepeat_) {
+    return {};
+  }
+  nextRepeat_ = aNow + kRepeat;
+  return { missing_.begin(), missing_.end() };
+}
+
+bool
+HomeAuthority::TakeCompletion(std::uint64_t aOwnNumber, TimePoint aNow)
+{
+  const bool complete = active_ && missing_.empty() && aOwnNumber >= highestStated_ &&
+                        aNow >= settledAt_ + kLeaseTerm + kLeaseMargin;
+  if (complete) {
+    active_ = false;
+  }
+  return complete;
+}
+
+std::optional<TimePoint>
+HomeAuthority::NextDeadline() const
+{
+  if (!active_) {
+    return std::nullopt;
+  }
+  return missing_.empty() ? settledAt_ + kLeaseTerm + kLeaseMargin : nextRepeat_;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,223 @@
+#include "geraniumpin/process/membership.hpp"
+
+#include <algorithm>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+// Decides which of two beliefs about one incarnation holds.
+bool
+Overrides(const MemberEvent& aNew, std::uint64_t aBeat, MemberState aState) noexcept
+{
+  const auto isFinal = [](MemberState aValue) {
+    return aValue == MemberState::Leaving || aValue == MemberState::Gone;
+  };
+  if (isFinal(aState)) {
+    return aNew.state_ > aState;
+  }
+  if (isFinal(aNew.state_)) {
+    return true;
+  }
+  return aNew.beat_ > aBeat || (aNew.beat_ == aBeat && aNew.state_ > aState);
+}
+
+} // namespace
+} // namespace impl
+
+Membership::Membership(NodeAddress aSelf, std::string aFailureDomain, std::uint64_t aIncarnation)
+  : self_(std::move(aSelf))
+  , failureDomain_(std::move(aFailureDomain))
+  , incarnation_(aIncarnation)
+{
+}
+
+void
+Membership::OnHeard(const NodeAddress& aNode, std::uint64_t aIncarnation, TimePoint aNow)
+{
+  auto& member = members_[aNode];
+  if (aIncarnation > member.incarnation_) {
+    member = Member{ .incarnation_ = aIncarnation, .heardAt_ = aNow };
+    gossip_.erase(aNode);
+  }
+  if (aIncarnation < member.incarnation_) {
+    return;
+  }
+  member.heardAt_ = aNow;
+  if (member.state_ == MemberState::Suspect) {
+    member.state_ = MemberState::Alive;
+  }
+  missedProbes_.erase(aNode);
+  if (probe_ && probe_->node_ == aNode) {
+    probe_.reset();
+  }
+}
+
+void
+Membership::OnEvents(const std::vector<MemberEvent>& aEvents)
+{
+  for (const auto& event : aEvents) {
+    if (event.node_ == self_) {
+      Refute(event);
+    } else {
+      Believe(event);
+    }
+  }
+}
+
+void
+Membership::Refute(const MemberEvent& aEvent)
+{
+  if (aEvent.state_ != MemberState::Suspect || aEvent.incarnation_ != incarnation_ ||
+      aEvent.beat_ < beat_) {
+    return;
+  }
+  beat_ = aEvent.beat_ + 1;
+  Spread({ .node_ = self_,
+           .incarnation_ = incarnation_,
+           .beat_ = beat_,
+           .state_ = leaving_ ? MemberState::Leaving : MemberState::Alive });
+}
+
+void
+Membership::Believe(const MemberEvent& aEvent)
+{
+  auto& member = members_[aEvent.node_];
+  const bool newer = aEvent.incarnation_ > member.incarnation_;
+  const bool same = aEvent.incarnation_ == member.incarnation_;
+  if (!newer && !(same && impl::Overrides(aEvent, member.beat_, member.state_))) {
+    return;
+  }
+  member.incarnation_ = aEvent.incarnation_;
+  member.beat_ = aEvent.beat_;
+  member.state_ = aEvent.state_;
+  Spread(aEvent);
+}
+
+void
+Membership::Spread(const MemberEvent& aEvent)
+{
+  gossip_.insert_or_assign(aEvent.node_, Gossip{ .event_ = aEvent });
+}
+
+MemberEvent
+Membership::EventOf(const NodeAddress& aNode) const
+{
+  const auto found = members_.find(aNode);
+  const auto member = found == members_.end() ? Member{} : found->second;
+  return { .node_ = aNode,
+           .incarnation_ = member.incarnation_,
+           .beat_ = member.beat_,
+           .state_ = member.state_ };
+}
+
+void
+Membership::OnVmList(const VmList& aList)
+{
+  if (aList.revision_ < list_.revision_) {
+    return;
+  }
+  std::map<NodeAddress, bool> leaving;
+  for (const auto& vm : aList.vms_) {
+    leaving.emplace(vm.node_, vm.leaving_);
+  }
+  for (const auto& before : list_.vms_) {
+    if (!leaving.contains(before.node_)) {
+      auto event = EventOf(before.node_);
+      event.state_ = MemberState::Gone;
+      Believe(event);
+    }
+  }
+  for (const auto& [node, isLeaving] : leaving) {
+    if (isLeaving && node != self_) {
+      auto event = EventOf(node);
+      event.state_ = MemberState::Leaving;
+      Believe(event);
+    }
+  }
+  list_ = aList;
+}
+
+void
+Membership::BeginLeaving()
+{
+  leaving_ = true;
+  Spread({ .node_ = self_,
+           .incarnation_ = incarnation_,
+           .beat_ = beat_,
+           .state_ = MemberState::Leaving });
+}
+
+void
+Membership::StartProbe(const NodeAddress& aNode, TimePoint aNow)
+{
+  probe_ = Probe{ aNode, aNow };
+}
+
+std::vector<NodeAddress>
+Membership::CheckProbes(TimePoint aNow)
+{
+  if (!probe_ || aNow - probe_->sentAt_ < kProbeTimeout) {
+    return {};
+  }
+  const auto node = probe_->node_;
+  probe_.reset();
+  if (++missedProbes_[node] < kProbesBeforeSuspicion) {
+    nextProbe_ = aNow + kProbePeriod;
+    StartProbe(node, aNow);
+    return {};
+  }
+  auto event = EventOf(node);
+  event.state_ = MemberState::Suspect;
+  Believe(event);
+  return { node };
+}
+
+std::vector<MemberEvent>
+Membership::TakeGossip()
+{
+  std::vector<MemberEvent> events;
+  for (auto entry = gossip_.begin(); entry != gossip_.end();) {
+    if (events.size() == kEventsPerMessage) {
+      break;
+    }
+    events.push_back(entry->second.event_);
+    entry = --entry->second.transmissions_ == 0 ? gossip_.erase(entry) : std::next(entry);
+  }
+  return events;
+}
+
+std::uint64_t
+Membership::IncarnationOf(const NodeAddress& aNode) const
+{
+  const auto found = members_.find(aNode);
+  return found == members_.end() ? 0 : found->second.incarnation_;
+}
+
+bool
+Membership::TakesWork(const NodeAddress& aNode) const
+{
+  if (aNode == self_) {
+    return !leaving_;
+  }
+  const auto found = members_.find(aNode);
+  return found == members_.end() || found->second.state_ == MemberState::Alive;
+}
+
+bool
+Membership::IsGone(const NodeAddress& aNode) const
+{
+  return list_.revision_ > 0 &&
+         std::none_of(list_.vms_.begin(), list_.vms_.end(), [&](const ListedVm& aVm) {
+           return aVm.node_ == aNode;
+         });
+}
+
+TimePoint
+Membership::NextDeadline() const noexcept
+{
+  return probe_ ? std::min(nextProbe_, probe_->sentAt_ + kProbeTimeout) : nextProbe_;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,140 @@
+#include "geraniumpin/process/settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+constexpr std::size_t kLeastPeerKeyBytes = 16;
+
+Fault
+MakeFault(const std::string& aSource, std::string aPath, std::string aExpected, std::string aFound)
+{
+  return { .source_ = aSource,
+           .path_ = std::move(aPath),
+           .position_ = {},
+           .description_ = std::move(aExpected),
+           .found_ = std::move(aFound) };
+}
+
+} // namespace
+} // namespace impl
+
+SettingsBuilder&
+SettingsBuilder::PeerAddress(NodeAddress aAddress)
+{
+  settings_.peerAddress_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::PeerListenAddress(NodeAddress aAddress)
+{
+  settings_.peerListen_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::CallerAddress(NodeAddress aAddress)
+{
+  settings_.callerAddress_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::AdminAddress(NodeAddress aAddress)
+{
+  settings_.adminAddress_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::FailureDomainName(std::string aName)
+{
+  settings_.failureDomain_ = std::move(aName);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::BackendServerAddress(NodeAddress aAddress)
+{
+  settings_.backendServer_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::PlatformAddress(NodeAddress aAddress)
+{
+  settings_.platform_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::Seeds(std::vector<NodeAddress> aSeeds)
+{
+  settings_.seeds_ = std::move(aSeeds);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::PeerKey(std::string aKey)
+{
+  settings_.peerKey_ = std::move(aKey);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::MostBodyBytes(std::size_t aBytes)
+{
+  settings_.mostBodyBytes_ = aBytes;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::DrainTimeout(std::chrono::milliseconds aTimeout)
+{
+  settings_.drainTimeout_ = aTimeout;
+  return *this;
+}
+
+tl::expected<Settings, Faults>
+SettingsBuilder::Build() const
+{
+  Faults faults;
+  const std::array<std::pair<const char*, const NodeAddress&>, 5> addresses{ {
+    { "/peer_address", settings_.peerAddress_ },
+    { "/caller_address", settings_.callerAddress_ },
+    { "/admin_address", settings_.adminAddress_ },
+    { "/backend_server", settings_.backendServer_ },
+    { "/platform", settings_.platform_ },
+  } };
+  for (auto address = addresses.begin(); address != addresses.end(); ++address) {
+    const auto sameText = [&](const auto& aOther) { return aOther.second == address->second; };
+    if (address->second.Empty()) {
+      faults.push_back(
+        impl::MakeFault(source_, address->first, "an IP number and a port", "nothing"));
+    } else if (std::any_of(addresses.begin(), address, sameText)) {
+      faults.push_back(impl::MakeFault(
+        source_, address->first, "an address that no other setting uses", address->second.Text()));
+    }
+  }
+  if (settings_.failureDomain_.empty()) {
+    faults.push_back(impl::MakeFault(source_, "/failure_domain", "a name", "\"\""));
+  }
+  if (settings_.peerKey_.size() < impl::kLeastPeerKeyBytes) {
+    faults.push_back(impl::MakeFault(source_,
+                                     "/peer_key",
+                                     "at least 16 characters",
+                                     std::to_string(settings_.peerKey_.size()) + " characters"));
+  }
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  return settings_;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/request/call.cpp
@@ -0,0 +1,34 @@
+#include "geraniumpin/request/call.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+std::string
+Hex(std::uint64_t aValue)
+{
+  std::array<char, 16> buffer{};
+  const auto result = std::to_chars(buffer.data(), buffer.data() + buffer.size(), aValue, 16);
+  return { buffer.data(), result.ptr };
+}
+
+} // namespace
+} // namespace impl
+
+std::string
+ToString(const CallId& aId)
+{
+  return impl::Hex(aId.incarnation_) + "-" + impl::Hex(aId.sequence_);
+}
+
+Body
+MakeBody(std::string_view aText)
+{
+  return std::make_shared<const std::string>(aText);
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/request/instance_choice.cpp
@@ -0,0 +1,38 @@
+#include "geraniumpin/request/instance_choice.hpp"
+
+namespace geraniumpin {
+
+bool
+DecideSpillOver(const std::vector<Candidate>& aCandidates, bool aSpilling) noexcept
+{
+  double load = 0;
+  std::size_t count = 0;
+  for (const auto& candidate : aCandidates) {
+    if (candidate.local_) {
+      load += candidate.hint_.load_;
+      ++count;
+    }
+  }
+  if (count == 0) {
+    return true;
+  }
+  const double average = load / static_cast<double>(count);
+  return average > (aSpilling ? kSpillBackLoad : kSpillOverLoad);
+}
+
+std::vector<Candidate>
+PreferLocal(const std::vector<Candidate>& aCandidates, bool aSpilling)
+{
+  if (aSpilling) {
+    return aCandidates;
+  }
+  std::vector<Candidate> local;
+  for (const auto& candidate : aCandidates) {
+    if (candidate.local_) {
+      local.push_back(candidate);
+    }
+  }
+  return local.empty() ? aCandidates : local;
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/version/snapshot.cpp
@@ -0,0 +1,188 @@
+#include "geraniumpin/version/snapshot.hpp"
+
+#include "snapshot_checks.hpp"
+
+#include <algorithm>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+template<class Part>
+const Part*
+FindPart(const DecodedParts& aParts, std::string_view aName) noexcept
+{
+  const auto found = aParts.find(aName);
+  return found == aParts.end() ? nullptr : std::get_if<Part>(found->second.get());
+}
+
+template<class Item>
+const Item*
+FindByName(const std::vector<Item>& aItems, std::string_view aName) noexcept
+{
+  const auto found = std::find_if(
+    aItems.begin(), aItems.end(), [&](const Item& aItem) { return aItem.name_ == aName; });
+  return found == aItems.end() ? nullptr : &*found;
+}
+
+bool
+Allows(const Route& aRoute, std::string_view aMethod) noexcept
+{
+  return std::find(aRoute.methods_.begin(), aRoute.methods_.end(), aMethod) !=
+         aRoute.methods_.end();
+}
+
+const Service*
+AsService(const SharedPart& aPart) noexcept
+{
+  return std::get_if<Service>(aPart.get());
+}
+
+} // namespace
+} // namespace impl
+
+Snapshot::Snapshot(Manifest aManifest, DecodedParts aParts)
+  : id_(IdOf(aManifest))
+  , manifest_(std::move(aManifest))
+  , parts_(std::move(aParts))
+{
+  for (const auto* service : Services()) {
+    for (const auto& backendServer : service->backendServers_) {
+      nodes_[backendServer.failureDomain_].push_back(backendServer.node_);
+    }
+  }
+  for (auto& [failureDomain, nodes] : nodes_) {
+    std::sort(nodes.begin(), nodes.end());
+  }
+}
+
+const Route*
+Snapshot::FindRoute(std::string_view aMethod, std::string_view aPath) const noexcept
+{
+  const Route* best = nullptr;
+  for (const auto& route : Routes()) {
+    const bool matches = aPath.starts_with(route.pathPrefix_) && impl::Allows(route, aMethod);
+    if (matches && (best == nullptr || route.pathPrefix_.size() > best->pathPrefix_.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const Key*
+Snapshot::FindKey(const Digest& aDigest) const noexcept
+{
+  const auto name = std::string(part_name::kKeysPrefix) + aDigest.Hex().front();
+  const auto* part = impl::FindPart<KeysPart>(parts_, name);
+  if (part == nullptr) {
+    return nullptr;
+  }
+  const Key* match = nullptr;
+  for (const auto& key : part->keys_) {
+    if (key.digest_.EqualsInConstantTime(aDigest)) {
+      match = &key;
+    }
+  }
+  return match;
+}
+
+const Service*
+Snapshot::FindService(std::string_view aName) const noexcept
+{
+  return impl::FindPart<Service>(parts_,
+                                 std::string(part_name::kServicePrefix) + std::string(aName));
+}
+
+const Team*
+Snapshot::FindTeam(std::string_view aName) const noexcept
+{
+  return impl::FindByName(Teams(), aName);
+}
+
+const FailureDomain*
+Snapshot::FindFailureDomain(std::string_view aName) const noexcept
+{
+  return impl::FindByName(FailureDomains(), aName);
+}
+
+std::optional<Placement>
+Snapshot::FindPlacement(const NodeAddress& aNode) const noexcept
+{
+  for (const auto& [name, part] : parts_) {
+    const auto* service = impl::AsService(part);
+    if (service == nullptr) {
+      continue;
+    }
+    for (const auto& backendServer : service->backendServers_) {
+      if (backendServer.node_ == aNode) {
+        return Placement{ *service, backendServer };
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+const std::vector<FailureDomain>&
+Snapshot::FailureDomains() const noexcept
+{
+  return impl::FindPart<FailureDomainsPart>(parts_, part_name::kFailureDomains)->failureDomains_;
+}
+
+const std::vector<Route>&
+Snapshot::Routes() const noexcept
+{
+  return impl::FindPart<RoutesPart>(parts_, part_name::kRoutes)->routes_;
+}
+
+const std::vector<Team>&
+Snapshot::Teams() const noexcept
+{
+  return impl::FindPart<TeamsPart>(parts_, part_name::kTeams)->teams_;
+}
+
+std::vector<const Service*>
+Snapshot::Services() const
+{
+  std::vector<const Service*> services;
+  for (const auto& [name, part] : parts_) {
+    if (const auto* service = impl::AsService(part)) {
+      services.push_back(service);
+    }
+  }
+  return services;
+}
+
+std::chrono::seconds
+Snapshot::CutOffKeyedService() const noexcept
+{
+  return impl::FindPart<FailureDomainsPart>(parts_, part_name::kFailureDomains)
+    ->cutOffKeyedService_;
+}
+
+const std::vector<NodeAddress>&
+Snapshot::NodesOf(std::string_view aFailureDomain) const
+{
+  static const std::vector<NodeAddress> kNone;
+  const auto found = nodes_.find(aFailureDomain);
+  return found == nodes_.end() ? kNone : found->second;
+}
+
+SnapshotBuilder&
+SnapshotBuilder::Add(std::string aName, SharedPart aPart)
+{
+  parts_.insert_or_assign(std::move(aName), std::move(aPart));
+  return *this;
+}
+
+tl::expected<SharedSnapshot, Faults>
+SnapshotBuilder::Build() const
+{
+  const auto faults = impl::CheckParts(manifest_, parts_);
+  if (!faults.empty()) {
+    return tl::make_unexpected(faults);
+  }
+  return SharedSnapshot(new Snapshot(manifest_, parts_));
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/version/snapshot_checks.cpp
@@ -0,0 +1,193 @@
+#include "snapshot_checks.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace geraniumpin::impl {
+
+namespace {
+
+/// \brief Accumulates faults and names while the parts are read once.
+class Checker
+{
+public:
+  Checker(const Manifest& aManifest, const DecodedParts& aParts)
+    : manifest_(aManifest)
+    , parts_(aParts)
+  {
+  }
+
+  Faults Run()
+  {
+    CheckCompleteness();
+    if (!faults_.empty()) {
+      return faults_;
+    }
+    CollectNames();
+    for (const auto& [name, part] : parts_) {
+      std::visit([&, &partName = name](const auto& aPart) { Check(partName, aPart); }, *part);
+    }
+    return faults_;
+  }
+
+private:
+  void AddFault(std::string_view aPart, std::string aPath, std::string aText, std::string aFound)
+  {
+    faults_.push_back({ .source_ = std::string(aPart),
+                        .path_ = std::move(aPath),
+                        .position_ = {},
+                        .description_ = std::move(aText),
+                        .found_ = std::move(aFound) });
+  }
+
+  void CheckCompleteness()
+  {
+    for (const auto required :
+         { part_name::kFailureDomains, part_name::kRoutes, part_name::kTeams }) {
+      if (!manifest_.parts_.contains(std::string(required))) {
+        AddFault(required, "", "the part is required", "none");
+      }
+    }
+    for (const auto& [name, digest] : manifest_.parts_) {
+      if (!parts_.contains(name)) {
+        AddFault(name, "", "the part is listed but was not supplied", "");
+      }
+    }
+    for (const auto& [name, part] : parts_) {
+      if (!manifest_.parts_.contains(name)) {
+        AddFault(name, "", "the part is not listed in the manifest", "");
+      } else if (!KindMatches(name, *part)) {
+        AddFault(name, "", "the part has the content of another kind of part", "");
+      }
+    }
+  }
+
+  static bool KindMatches(std::string_view aName, const PartValue& aPart)
+  {
+    if (const auto* service = std::get_if<Service>(&aPart)) {
+      return aName == std::string(part_name::kServicePrefix) + service->name_;
+    }
+    if (std::holds_alternative<KeysPart>(aPart)) {
+      return aName.starts_with(part_name::kKeysPrefix);
+    }
+    if (std::holds_alternative<FailureDomainsPart>(aPart)) {
+      return aName == part_name::kFailureDomains;
+    }
+    return aName ==
+           (std::holds_alternative<RoutesPart>(aPart) ? part_name::kRoutes : part_name::kTeams);
+  }
+
+  void CollectNames()
+  {
+    for (const auto& [name, part] : parts_) {
+      if (const auto* domains = std::get_if<FailureDomainsPart>(part.get())) {
+        CollectUnique(name, "/failure_domains", domains->failureDomains_, failureDomains_);
+      } else if (const auto* teams = std::get_if<TeamsPart>(part.get())) {
+        CollectUnique(name, "/teams", teams->teams_, teams_);
+      } else if (const auto* service = std::get_if<Service>(part.get())) {
+        services_.insert(service->name_);
+      }
+    }
+  }
+
+  template<class Item>
+  void CollectUnique(std::string_view aPart,
+                     const std::string& aPath,
+                     const std::vector<Item>& aItems,
+                     std::set<std::string_view>& aNames)
+  {
+    for (std::size_t i = 0; i < aItems.size(); ++i) {
+      if (!aNames.insert(aItems[i].name_).second) {
+        AddFault(
+          aPart, aPath + "/" + std::to_string(i) + "/name", "the name is unique", aItems[i].name_);
+      }
+    }
+  }
+
+  void Check(std::string_view aPart, const FailureDomainsPart& aValue)
+  {
+    if (aValue.failureDomains_.empty()) {
+      AddFault(aPart, "/failure_domains", "at least one failure domain", "none");
+    }
+  }
+
+  void Check(std::string_view aPart, const Service& aValue)
+  {
+    for (std::size_t i = 0; i < aValue.backendServers_.size(); ++i) {
+      const auto& backendServer = aValue.backendServers_[i];
+      const auto path = "/backend_servers/" + std::to_string(i);
+      if (!failureDomains_.contains(backendServer.failureDomain_)) {
+        AddFault(aPart,
+                 path + "/failure_domain",
+                 "the name of a failure domain",
+                 backendServer.failureDomain_);
+      }
+      if (!nodes_.insert(backendServer.node_.Text()).second) {
+        AddFault(aPart,
+                 path + "/node",
+                 "a node that serves no other backend server",
+                 backendServer.node_.Text());
+      }
+    }
+  }
+
+  void Check(std::string_view aPart, const RoutesPart& aValue)
+  {
+    std::set<std::string_view> names;
+    CollectUnique(aPart, "/routes", aValue.routes_, names);
+    std::set<std::pair<std::string_view, std::string_view>> matches;
+    for (std::size_t i = 0; i < aValue.routes_.size(); ++i) {
+      const auto& route = aValue.routes_[i];
+      const auto path = "/routes/" + std::to_string(i);
+      if (!services_.contains(route.service_)) {
+        AddFault(aPart, path + "/service", "the name of a service", route.service_);
+      }
+      for (const auto& method : route.methods_) {
+        if (!matches.emplace(method, route.pathPrefix_).second) {
+          AddFault(aPart,
+                   path + "/path_prefix",
+                   "a method and path prefix that no other route has",
+                   method + " " + route.pathPrefix_);
+        }
+      }
+    }
+  }
+
+  void Check(std::string_view /*aPart*/, const TeamsPart& /*aValue*/) {}
+
+  void Check(std::string_view aPart, const KeysPart& aValue)
+  {
+    for (std::size_t i = 0; i < aValue.keys_.size(); ++i) {
+      const auto& key = aValue.keys_[i];
+      const auto path = "/keys/" + std::to_string(i);
+      if (!teams_.contains(key.team_)) {
+        AddFault(aPart, path + "/team", "the name of a team", key.team_);
+      }
+      if (aPart.back() != key.digest_.Hex().front()) {
+        AddFault(aPart, path + "/sha256", "a digest that belongs to this part", key.digest_.Hex());
+      }
+      if (!keys_.insert(key.digest_).second) {
+        AddFault(aPart, path + "/sha256", "the key is unique", key.digest_.Hex());
+      }
+    }
+  }
+
+  const Manifest& manifest_;
+  const DecodedParts& parts_;
+  Faults faults_;
+  std::set<std::string_view> failureDomains_;
+  std::set<std::string_view> teams_;
+  std::set<std::string_view> services_;
+  std::set<std::string> nodes_;
+  std::set<Digest> keys_;
+};
+
+} // namespace
+
+Faults
+CheckParts(const Manifest& aManifest, const DecodedParts& aParts)
+{
+  return Checker(aManifest, aParts).Run();
+}
+
+} // namespace geraniumpin::impl
--- /dev/null
+++ b/src/version/version_store.cpp
@@ -0,0 +1,143 @@
+#include "geraniumpin/version/version_store.hpp"
+
+#include <algorithm>
+
+namespace geraniumpin {
+
+std::string_view
+ToString(VersionRefusal aRefusal) noexcept
+{
+  switch (aRefusal) {
+    case VersionRefusal::NotNewer:
+      return "not_newer";
+    case VersionRefusal::DigestConflict:
+      return "digest_conflict";
+    case VersionRefusal::KnownBad:
+      return "known_bad";
+    case VersionRefusal::BaseMissing:
+      return "base_missing";
+    case VersionRefusal::ContentMismatch:
+      return "content_mismatch";
+    case VersionRefusal::Invalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
+std::optional<VersionRefusal>
+VersionStore::Screen(const VersionId& aId) const
+{
+  const auto running = CurrentId();
+  if (aId.number_ == running.number_ && aId.digest_ != running.digest_) {
+    return VersionRefusal::DigestConflict;
+  }
+  if (aId.number_ <= running.number_) {
+    return VersionRefusal::NotNewer;
+  }
+  if (bad_.contains(aId)) {
+    return VersionRefusal::KnownBad;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::map<std::string, SharedBytes>>
+VersionStore::Merge(const Delta& aDelta) const
+{
+  const bool fromNothing = aDelta.from_.number_ == 0;
+  if (!fromNothing && aDelta.from_ != CurrentId()) {
+    return std::nullopt;
+  }
+  std::map<std::string, SharedBytes> merged;
+  if (!fromNothing) {
+    merged = bytes_;
+  }
+  for (const auto& name : aDelta.removed_) {
+    merged.erase(name);
+  }
+  for (const auto& [name, bytes] : aDelta.changed_) {
+    merged.insert_or_assign(name, bytes);
+  }
+  return merged;
+}
+
+tl::unexpected<RefusedVersion>
+VersionStore::RefuseInvalid(const VersionId& aId, Faults aFaults)
+{
+  bad_.insert(aId);
+  return tl::make_unexpected(RefusedVersion{ VersionRefusal::Invalid, std::move(aFaults) });
+}
+
+void
+VersionStore::Install(SharedSnapshot aSnapshot, std::map<std::string, SharedBytes> aBytes)
+{
+  current_ = std::move(aSnapshot);
+  bytes_ = std::move(aBytes);
+  bytesByDigest_.clear();
+  for (const auto& [name, digest] : current_->Parts().parts_) {
+    bytesByDigest_.emplace(digest, bytes_.at(name));
+  }
+  history_.push_back(current_->Parts());
+  if (history_.size() > kManifestHistory) {
+    history_.pop_front();
+  }
+  std::erase_if(bad_, [&](const VersionId& aId) { return aId.number_ <= CurrentId().number_; });
+}
+
+SharedPart
+VersionStore::Reusable(const std::string& aName, const Digest& aDigest) const
+{
+  if (!current_) {
+    return nullptr;
+  }
+  const auto& digests = current_->Parts().parts_;
+  const auto found = digests.find(aName);
+  const bool same = found != digests.end() && found->second == aDigest;
+  return same ? current_->Decoded().find(aName)->second : nullptr;
+}
+
+Delta
+VersionStore::DeltaFrom(const VersionId& aTheirs) const
+{
+  const auto base = std::find_if(history_.begin(), history_.end(), [&](const Manifest& aManifest) {
+    return aManifest.number_ == aTheirs.number_ && IdOf(aManifest) == aTheirs;
+  });
+  const bool known = base != history_.end();
+  const auto difference =
+    Difference(known ? base->parts_ : PartDigests{}, current_->Parts().parts_);
+  std::map<std::string, SharedBytes> changed;
+  for (const auto& name : difference.changed_) {
+    changed.emplace(name, bytes_.at(name));
+  }
+  return { .from_ = known ? aTheirs : VersionId{},
+           .to_ = CurrentId(),
+           .changed_ = std::move(changed),
+           .removed_ = difference.removed_ };
+}
+
+SharedBytes
+VersionStore::FindBytes(const Digest& aDigest) const
+{
+  const auto found = bytesByDigest_.find(aDigest);
+  return found == bytesByDigest_.end() ? nullptr : found->second;
+}
+
+namespace impl {
+
+Manifest
+ManifestOf(std::uint64_t aNumber,
+           const std::map<std::string, SharedBytes>& aParts,
+           const std::map<std::string, SharedBytes>& aKnownBytes,
+           const PartDigests& aKnownDigests)
+{
+  PartDigests digests;
+  for (const auto& [name, bytes] : aParts) {
+    const auto known = aKnownBytes.find(name);
+    const bool same = known != aKnownBytes.end() && known->second == bytes;
+    digests.emplace(name, same ? aKnownDigests.at(name) : Digest::Of(*bytes));
+  }
+  return { .number_ = aNumber, .parts_ = std::move(digests) };
+}
+
+} // namespace impl
+
+} // namespace geraniumpin
--- /dev/null
+++ b/tests/standins/backend_server.cpp
@@ -0,0 +1,186 @@
+/// \brief Stand-in for a backend server: slots, cold start, shedding, cancellation, records.
+///
+/// A request takes the service time, stretched when more run than the slots bear; far above, it is
+/// refused before it starts. Each run is recorded; a test reads and steers it under /control.
+
+#include "../../src/adapters/connection/http_server.hpp"
+#include "../../src/adapters/process/glog_log.hpp"
+#include "../../src/adapters/process/signal_watch.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace {
+
+using namespace geraniumpin;
+using nlohmann::json;
+
+constexpr std::size_t kMostBodyBytes = 64U << 20U;
+constexpr double kColdShare = 0.25; // of the slots that a cold backend server bears
+constexpr double kShedRatio = 2;    // running requests per borne slot at which it refuses
+
+struct Options
+{
+  std::string listen_;
+  std::string name_;
+  double slots_ = 9;
+  std::uint32_t serviceUs_ = 2000;
+  std::uint32_t coldMs_ = 0;
+};
+
+class BackendServer
+{
+public:
+  BackendServer(EventLoop& aLoop, const Options& aOptions)
+    : options_(aOptions)
+    , coldUntil_(clock_.Now() + std::chrono::milliseconds(aOptions.coldMs_))
+    , server_(aLoop,
+              NodeAddress::Parse(aOptions.listen_).value(),
+              kMostBodyBytes,
+              { [this](ExchangeId aId, const HttpRequest& aRequest) { OnRequest(aId, aRequest); },
+                [this](ExchangeId aId) { OnGone(aId); } })
+  {
+  }
+
+  void OnTimer()
+  {
+    while (!ends_.empty() && ends_.begin()->first <= clock_.Now()) {
+      const auto id = ends_.begin()->second;
+      ends_.erase(ends_.begin());
+      Finish(id);
+    }
+  }
+
+  [[nodiscard]] TimePoint NextDeadline() const
+  {
+    return ends_.empty() ? clock_.Now() + std::chrono::seconds(10) : ends_.begin()->first;
+  }
+
+private:
+  [[nodiscard]] double Borne() const
+  {
+    return clock_.Now() < coldUntil_ ? options_.slots_ * kColdShare : options_.slots_;
+  }
+
+  void OnRequest(ExchangeId aId, const HttpRequest& aRequest)
+  {
+    const auto path = aRequest.path_.substr(0, aRequest.path_.find('?'));
+    if (path.starts_with("/control/")) {
+      Control(aId, path, aRequest);
+      return;
+    }
+    const auto running = static_cast<double>(running_.size()) + 1;
+    if (running > kShedRatio * Borne()) {
+      ++shed_;
+      server_.Respond(aId,
+                      { .status_ = 503, .headers_ = { { "not-started", "true" } }, .body_ = {} });
+      return;
+    }
+    mostRunning_ = std::max(mostRunning_, running);
+    overloaded_ += running > Borne() ? 1 : 0;
+    Record(aRequest);
+    const auto delay = QueryParameter(aRequest.path_, "service_us");
+    const double serviceUs = delay.empty() ? options_.serviceUs_ : std::stod(delay);
+    const double stretch = std::max(1.0, running / Borne());
+    const std::chrono::microseconds time(
+      static_cast<std::int64_t>(serviceUs * stretch * slowdown_));
+    running_.emplace(aId, aRequest);
+    if (time.count() == 0) {
+      Finish(aId);
+    } else {
+      ends_.emplace(clock_.Now() + time, aId);
+    }
+  }
+
+  void Record(const HttpRequest& aRequest)
+  {
+    ++runs_;
+    const auto tag = FindHeader(aRequest.headers_, "x-tag");
+    if (!tag.empty()) {
+      ++runsByTag_[std::string(tag)];
+    }
+    for (const auto& field : aRequest.headers_) {
+      headersSeen_.insert(field.name_);
+    }
+  }
+
+  void Finish(ExchangeId aId)
+  {
+    const auto node = running_.extract(aId);
+    if (node.empty()) {
+      return;
+    }
+    const auto& request = node.mapped();
+    const auto body =
+      request.body_->empty() ? request.method_ + " " + request.path_ : *request.body_;
+    server_.Respond(aId,
+                    { .status_ = 200,
+                      .headers_ = { { "x-backend-server", options_.name_ } },
+                      .body_ = MakeBody(body) });
+  }
+
+  void OnGone(ExchangeId aId)
+  {
+    if (running_.erase(aId) > 0) {
+      ++cancelled_;
+      std::erase_if(ends_, [&](const auto& aEnd) { return aEnd.second == aId; });
+    }
+  }
+
+  void Control(ExchangeId aId, const std::string& aPath, const HttpRequest& aRequest)
+  {
+    if (aPath == "/control/cold") {
+      coldUntil_ =
+        clock_.Now() + std::chrono::milliseconds(std::stoul(QueryParameter(aRequest.path_, "ms")));
+    } else if (aPath == "/control/slow") {
+      slowdown_ = std::stod(QueryParameter(aRequest.path_, "factor"));
+    }
+    const json record{
+      { "runs", runs_ },          { "runs_by_tag", runsByTag_ }, { "headers_seen", headersSeen_ },
+      { "shed", shed_ },          { "overloaded", overloaded_ }, { "most_running", mostRunning_ },
+      { "cancelled", cancelled_ }
+    };
+    server_.Respond(aId, { .status_ = 200, .headers_ = {}, .body_ = MakeBody(record.dump()) });
+  }
+
+  SystemClock clock_;
+  Options options_;
+  TimePoint coldUntil_;
+  double slowdown_ = 1;
+  std::map<ExchangeId, HttpRequest> running_;
+  std::set<std::pair<TimePoint, ExchangeId>> ends_;
+  std::uint64_t runs_ = 0;
+  std::map<std::string, std::uint64_t> runsByTag_;
+  std::set<std::string> headersSeen_;
+  std::uint64_t shed_ = 0;
+  std::uint64_t overloaded_ = 0;
+  double mostRunning_ = 0;
+  std::uint64_t cancelled_ = 0;
+  HttpServer server_;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("stand-in for a backend server");
+  Options options;
+  app.add_option("--listen", options.listen_)->required();
+  app.add_option("--name", options.name_)->required();
+  app.add_option("--slots", options.slots_);
+  app.add_option("--service-us", options.serviceUs_, "time of a request");
+  app.add_option("--cold-ms", options.coldMs_, "time for which it bears less after the start");
+  CLI11_PARSE(app, aCount, aArguments);
+
+  StartLogging(aArguments[0]);
+  EventLoop loop;
+  SignalWatch signals(loop);
+  BackendServer backendServer(loop, options);
+  while (!signals.StopRequested()) {
+    loop.RunOnce(backendServer.NextDeadline());
+    backendServer.OnTimer();
+  }
+}
--- /dev/null
+++ b/tests/standins/caller.cpp
@@ -0,0 +1,165 @@
+/// \brief Stand-in for callers: sends a bounded load and prints what came back as JSON.
+
+#include "../../src/adapters/connection/http_client.hpp"
+#include "../../src/adapters/process/glog_log.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace geraniumpin;
+using nlohmann::json;
+
+constexpr std::uint64_t kMostRequests = 1'000'000;
+
+struct Options
+{
+  std::string target_;
+  std::string method_ = "GET";
+  std::string path_ = "/";
+  std::string key_;
+  std::string tagPrefix_;
+  std::uint64_t count_ = 100;
+  std::uint64_t concurrency_ = 1;
+  double ratePerSecond_ = 0;
+  std::size_t bodyBytes_ = 0;
+};
+
+class Caller
+{
+public:
+  Caller(EventLoop& aLoop, const Options& aOptions)
+    : options_(aOptions)
+    , target_(NodeAddress::Parse(aOptions.target_).value())
+    , client_(aLoop, { std::chrono::milliseconds(60000), 64U << 20U, 1000 })
+    , startedAt_(clock_.Now())
+  {
+  }
+
+  [[nodiscard]] bool IsDone() const { return ended_ == options_.count_; }
+
+  void OnTimer()
+  {
+    while (started_ < options_.count_ && started_ - ended_ < options_.concurrency_ &&
+           clock_.Now() >= DueAt(started_)) {
+      Send();
+    }
+  }
+
+  [[nodiscard]] TimePoint NextDeadline() const
+  {
+    const bool waitsForTime = started_ < options_.count_ && options_.ratePerSecond_ > 0;
+    const auto fallback = clock_.Now() + std::chrono::seconds(1);
+    return waitsForTime && started_ - ended_ < options_.concurrency_
+             ? std::min(fallback, DueAt(started_))
+             : fallback;
+  }
+
+  [[nodiscard]] json Report()
+  {
+    std::sort(latencies_.begin(), latencies_.end());
+    const auto quantile = [&](double aShare) {
+      const auto index = static_cast<std::size_t>(aShare * static_cast<double>(latencies_.size()));
+      return latencies_.empty() ? 0 : latencies_[std::min(index, latencies_.size() - 1)];
+    };
+    const std::chrono::duration<double> took = clock_.Now() - startedAt_;
+    return { { "sent", started_ },        { "outcomes", outcomes_ },
+             { "statuses", statuses_ },   { "answered_by", answeredBy_ },
+             { "p50_us", quantile(0.5) }, { "p99_us", quantile(0.99) },
+             { "seconds", took.count() } };
+  }
+
+private:
+  [[nodiscard]] TimePoint DueAt(std::uint64_t aIndex) const
+  {
+    if (options_.ratePerSecond_ <= 0) {
+      return startedAt_;
+    }
+    const std::chrono::duration<double> offset(static_cast<double>(aIndex) /
+                                               options_.ratePerSecond_);
+    return startedAt_ + std::chrono::duration_cast<Duration>(offset);
+  }
+
+  void Send()
+  {
+    HeaderFields headers;
+    if (!options_.key_.empty()) {
+      headers.push_back({ "x-api-key", options_.key_ });
+    }
+    if (!options_.tagPrefix_.empty()) {
+      headers.push_back({ "x-tag", options_.tagPrefix_ + std::to_string(started_) });
+    }
+    ++started_;
+    const HttpRequest request{ .method_ = options_.method_,
+                               .path_ = options_.path_,
+                               .headers_ = headers,
+                               .body_ = MakeBody(std::string(options_.bodyBytes_, 'x')) };
+    const auto sentAt = clock_.Now();
+    client_.Start(target_, request, [this, sentAt](const HttpResult& aResult) {
+      OnEnd(clock_.Now() - sentAt, aResult);
+    });
+  }
+
+  void OnEnd(Duration aTook, const HttpResult& aResult)
+  {
+    ++ended_;
+    const auto& response = aResult.response_;
+    latencies_.push_back(std::chrono::duration_cast<std::chrono::microseconds>(aTook).count());
+    std::string outcome(FindHeader(response.headers_, "geraniumpin-outcome"));
+    const auto reason = FindHeader(response.headers_, "geraniumpin-reason");
+    if (aResult.end_ != HttpEnd::Complete) {
+      outcome = aResult.end_ == HttpEnd::ConnectFailed ? "connect_failed" : "broken";
+    } else if (outcome.empty()) {
+      outcome = "direct";
+    }
+    ++outcomes_[reason.empty() ? outcome : outcome + ":" + std::string(reason)];
+    ++statuses_[std::to_string(response.status_)];
+    const auto server = FindHeader(response.headers_, "x-backend-server");
+    if (!server.empty()) {
+      ++answeredBy_[std::string(server)];
+    }
+  }
+
+  SystemClock clock_;
+  Options options_;
+  NodeAddress target_;
+  HttpClient client_;
+  TimePoint startedAt_;
+  std::uint64_t started_ = 0;
+  std::uint64_t ended_ = 0;
+  std::vector<std::int64_t> latencies_;
+  std::map<std::string, std::uint64_t> outcomes_;
+  std::map<std::string, std::uint64_t> statuses_;
+  std::map<std::string, std::uint64_t> answeredBy_;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("stand-in for callers");
+  Options options;
+  app.add_option("--target", options.target_)->required();
+  app.add_option("--method", options.method_);
+  app.add_option("--path", options.path_);
+  app.add_option("--key", options.key_);
+  app.add_option("--tag-prefix", options.tagPrefix_);
+  app.add_option("--count", options.count_)->check(CLI::Range(std::uint64_t{ 1 }, kMostRequests));
+  app.add_option("--concurrency", options.concurrency_);
+  app.add_option("--rate", options.ratePerSecond_, "requests per second; 0: as fast as answered");
+  app.add_option("--body-bytes", options.bodyBytes_);
+  CLI11_PARSE(app, aCount, aArguments);
+
+  StartLogging(aArguments[0]);
+  EventLoop loop;
+  Caller caller(loop, options);
+  while (!caller.IsDone()) {
+    caller.OnTimer();
+    loop.RunOnce(caller.NextDeadline());
+  }
+  std::cout << caller.Report().dump() << "\n";
+}
--- /dev/null
+++ b/tests/standins/relay.cpp
@@ -0,0 +1,232 @@
+/// \brief Stand-in for the network: forwards TCP streams between nodes and cuts them on command.
+///
+/// Each --link LISTEN=TARGET forwards connections. A cut between two groups of source and target
+/// addresses stops the bytes and keeps the connections, as a network partition does.
+
+#include "../../src/adapters/connection/http_server.hpp"
+#include "../../src/adapters/process/glog_log.hpp"
+#include "../../src/adapters/process/signal_watch.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+
+#include <CLI/CLI.hpp>
+#include <arpa/inet.h>
+#include <glog/logging.h>
+#include <list>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+using namespace geraniumpin;
+
+constexpr std::size_t kChunkBytes = 64U << 10U;
+
+/// One direction of a forwarded connection.
+struct Pipe
+{
+  int from_ = -1;
+  int to_ = -1;
+  std::string buffer_;
+  bool ended_ = false;
+};
+
+struct Connection
+{
+  std::string source_;
+  std::string target_;
+  Pipe forth_;
+  Pipe back_;
+  std::unique_ptr<FdWatch> clientWatch_;
+  std::unique_ptr<FdWatch> serverWatch_;
+};
+
+int
+OpenSocket()
+{
+  return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+}
+
+sockaddr_in
+SocketAddress(const NodeAddress& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.Port());
+  inet_pton(AF_INET, aAddress.Ip().c_str(), &address.sin_addr);
+  return address;
+}
+
+class Relay
+{
+public:
+  explicit Relay(EventLoop& aLoop)
+    : loop_(aLoop)
+  {
+  }
+
+  void AddLink(const std::string& aLink)
+  {
+    const auto equals = aLink.find('=');
+    const auto listen = SocketAddress(*NodeAddress::Parse(aLink.substr(0, equals)));
+    const auto target = *NodeAddress::Parse(aLink.substr(equals + 1));
+    const int fd = OpenSocket();
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    PCHECK(bind(fd, reinterpret_cast<const sockaddr*>(&listen), sizeof listen) == 0) << aLink;
+    PCHECK(::listen(fd, 256) == 0);
+    listeners_.push_back(
+      std::make_unique<FdWatch>(loop_, fd, [this, fd, target] { Accept(fd, target); }));
+  }
+
+  /// Stops or lets pass what goes from sources to targets whose addresses begin so.
+  void SetCut(const std::string& aSource, const std::string& aTarget, bool aCut)
+  {
+    if (aCut) {
+      cuts_.emplace(aSource, aTarget);
+    } else {
+      cuts_.erase({ aSource, aTarget });
+    }
+    for (auto& connection : connections_) {
+      Watch(connection);
+    }
+    Pump();
+  }
+
+  void Pump()
+  {
+    for (auto connection = connections_.begin(); connection != connections_.end();) {
+      if (!IsCut(*connection)) {
+        Forward(connection->forth_);
+        Forward(connection->back_);
+      }
+      const bool ended = connection->forth_.ended_ || connection->back_.ended_;
+      connection = ended ? Close(connection) : std::next(connection);
+    }
+  }
+
+  [[nodiscard]] bool HasBacklog() const
+  {
+    return std::any_of(connections_.begin(), connections_.end(), [this](const auto& aConnection) {
+      return !IsCut(aConnection) &&
+             (!aConnection.forth_.buffer_.empty() || !aConnection.back_.buffer_.empty());
+    });
+  }
+
+private:
+  void Accept(int aListener, const NodeAddress& aTarget)
+  {
+    sockaddr_in peer{};
+    socklen_t length = sizeof peer;
+    const int client =
+      accept4(aListener, reinterpret_cast<sockaddr*>(&peer), &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (client < 0) {
+      return;
+    }
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+    const int server = OpenSocket();
+    const auto address = SocketAddress(aTarget);
+    (void)connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    connections_.push_back({ .source_ = text.data(),
+                             .target_ = aTarget.Text(),
+                             .forth_ = { .from_ = client, .to_ = server },
+                             .back_ = { .from_ = server, .to_ = client } });
+    Watch(connections_.back());
+  }
+
+  void Watch(Connection& aConnection)
+  {
+    const bool cut = IsCut(aConnection);
+    aConnection.clientWatch_.reset();
+    aConnection.serverWatch_.reset();
+    if (!cut) {
+      // Waking the loop is enough: it pumps after each turn.
+      const auto wake = [] {};
+      aConnection.clientWatch_ = std::make_unique<FdWatch>(loop_, aConnection.forth_.from_, wake);
+      aConnection.serverWatch_ = std::make_unique<FdWatch>(loop_, aConnection.back_.from_, wake);
+    }
+  }
+
+  [[nodiscard]] bool IsCut(const Connection& aConnection) const
+  {
+    return std::any_of(cuts_.begin(), cuts_.end(), [&](const auto& aCut) {
+      return aConnection.source_.starts_with(aCut.first) &&
+             aConnection.target_.starts_with(aCut.second);
+    });
+  }
+
+  static void Forward(Pipe& aPipe)
+  {
+    std::array<char, kChunkBytes> chunk{};
+    while (aPipe.buffer_.size() < kChunkBytes) {
+      const auto received = recv(aPipe.from_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+      if (received > 0) {
+        aPipe.buffer_.append(chunk.data(), static_cast<std::size_t>(received));
+        continue;
+      }
+      const bool later = received < 0 && (errno == EAGAIN || errno == ENOTCONN);
+      aPipe.ended_ = !later;
+      break;
+    }
+    const auto sent =
+      send(aPipe.to_, aPipe.buffer_.data(), aPipe.buffer_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent > 0) {
+      aPipe.buffer_.erase(0, static_cast<std::size_t>(sent));
+    }
+  }
+
+  std::list<Connection>::iterator Close(std::list<Connection>::iterator aConnection)
+  {
+    aConnection->clientWatch_.reset();
+    aConnection->serverWatch_.reset();
+    close(aConnection->forth_.from_);
+    close(aConnection->forth_.to_);
+    return connections_.erase(aConnection);
+  }
+
+  EventLoop& loop_;
+  std::vector<std::unique_ptr<FdWatch>> listeners_;
+  std::list<Connection> connections_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("stand-in for the network between nodes");
+  std::string control;
+  std::vector<std::string> links;
+  app.add_option("--control", control)->required();
+  app.add_option("--link", links, "LISTEN=TARGET")->required();
+  CLI11_PARSE(app, aCount, aArguments);
+
+  StartLogging(aArguments[0]);
+  EventLoop loop;
+  SignalWatch signals(loop);
+  Relay relay(loop);
+  for (const auto& link : links) {
+    relay.AddLink(link);
+  }
+  std::unique_ptr<HttpServer> server;
+  server =
+    std::make_unique<HttpServer>(loop,
+                                 NodeAddress::Parse(control).value(),
+                                 1024,
+                                 HttpHandlers{ [&](ExchangeId aId, const HttpRequest& aRequest) {
+                                                relay.SetCut(QueryParameter(aRequest.path_, "from"),
+                                                             QueryParameter(aRequest.path_, "to"),
+                                                             aRequest.path_.starts_with("/cut"));
+                                                server->Respond(aId, {});
+                                              },
+                                               {} });
+  SystemClock clock;
+  while (!signals.StopRequested()) {
+    const auto wait =
+      relay.HasBacklog() ? std::chrono::milliseconds(5) : std::chrono::milliseconds(1000);
+    loop.RunOnce(clock.Now() + wait);
+    relay.Pump();
+  }
+}
