--- /dev/null
+++ b/tests/bench/limits_bench.cpp
@@ -0,0 +1,99 @@
+/// \brief Compares wrongful refusals of team limits: leases between nodes, static division, one
+/// central bucket (which nothing makes safe).
+
+#include "benches.hpp"
+
+#include "../support/fake_links.hpp"
+#include "bench_support.hpp"
+
+#include <cstdio>
+
+namespace geraniumpin::bench {
+
+namespace {
+
+using namespace geraniumpin::test;
+
+constexpr double kRate = 90;
+constexpr int kBurst = 45;
+constexpr int kSeconds = 40;
+
+struct Arrival
+{
+  Duration at_;
+  std::size_t node_;
+};
+
+/// Arrivals that a perfect fleet-wide bucket would all accept; a share of them at one domain.
+std::vector<Arrival>
+ConformingArrivals(double aLoad, double aSkew, std::size_t aNodes, std::mt19937_64& aRandom)
+{
+  std::vector<Arrival> arrivals;
+  std::exponential_distribution<double> gap(kRate * aLoad);
+  Bucket bucket(kRate, kBurst);
+  for (double at = gap(aRandom); at < kSeconds; at += gap(aRandom)) {
+    const bool skewed = DrawFraction(aRandom) < aSkew;
+    const auto node = skewed ? DrawIndex(aRandom, aNodes / 3) : DrawIndex(aRandom, aNodes);
+    if (bucket.Take(TimePoint(Seconds(at)))) {
+      arrivals.push_back({ Seconds(at), node });
+    }
+  }
+  return arrivals;
+}
+
+double
+StaticRefusals(const std::vector<Arrival>& aArrivals, std::size_t aNodes)
+{
+  const auto parts = static_cast<double>(aNodes);
+  std::vector<Bucket> buckets(aNodes, Bucket(kRate / parts, kBurst / parts));
+  std::size_t refused = 0;
+  for (const auto& arrival : aArrivals) {
+    refused += buckets[arrival.node_].Take(TimePoint(arrival.at_)) ? 0 : 1;
+  }
+  return static_cast<double>(refused) / static_cast<double>(aArrivals.size());
+}
+
+double
+LeaseRefusals(const std::vector<Arrival>& aArrivals, std::uint64_t aSeed)
+{
+  FakeLinks links(aSeed);
+  const auto nodes = StartAll(
+    links,
+    { .domains_ = 3, .nodesPerDomain_ = 3, .rate_ = kRate, .burst_ = kBurst, .slots_ = 1000 });
+  links.Run(std::chrono::seconds(5));
+  std::vector<CallId> ids;
+  for (const auto& arrival : aArrivals) {
+    links.At(arrival.at_, [&links, &nodes, &ids, arrival] {
+      ids.push_back(links.Call(nodes[arrival.node_], "small", "GET"));
+    });
+  }
+  links.Run(std::chrono::seconds(kSeconds + 3));
+  std::size_t refused = 0;
+  for (const auto& id : ids) {
+    refused += links.answers_.at(id).outcome_ == Outcome::Answered ? 0 : 1;
+  }
+  return static_cast<double>(refused) / static_cast<double>(ids.size());
+}
+
+} // namespace
+
+void
+BenchLimits()
+{
+  std::printf("requests refused although inside the rate (9 nodes in 3 failure domains; a central "
+              "bucket refuses none of them)\n");
+  std::printf("  %-34s %10s %10s\n", "arrivals", "leases", "static");
+  for (const double load : { 0.1, 0.6, 0.95 }) {
+    for (const double skew : { 0.0, 0.9 }) {
+      std::mt19937_64 random(1);
+      const auto arrivals = ConformingArrivals(load, skew, 9, random);
+      std::printf("  %.2f of the rate, %.0f%% at one domain %9.4f %10.4f\n",
+                  load,
+                  100 * (skew + (1 - skew) / 3),
+                  LeaseRefusals(arrivals, 1),
+                  StaticRefusals(arrivals, 9));
+    }
+  }
+}
+
+} // namespace geraniumpin::bench
