Admission probes a cold backend server slowly

The limit grew by one with each `limit` successes, about every 10 ms, and slowness counted only at twice the baseline, so the limit swung between what the server bears and twice that.

Change: the limit grows by at most one in 200 ms; slowness counts at 1.25 of the baseline, on a smoothed latency.

The test of the growth now runs 2 s instead of 1 s of fake time, since a warm server is reached in 1.6 s by design, and checks the rate of growth at every step.

--- a/include/geraniumpin/process/concurrency_controller.hpp
+++ b/include/geraniumpin/process/concurrency_controller.hpp
@@ -55,7 +55,10 @@
 public:
   static constexpr double kShedFactor = 0.6;
   static constexpr double kSlowFactor = 0.85;
-  static constexpr double kSlowRatio = 2.0; ///< latency over the baseline that counts as slow
+  static constexpr double kSlowRatio = 1.25; ///< latency over the baseline that counts as slow
+  static constexpr double kSmoothing = 0.3;  ///< weight of the newest latency
+  /// Least time in which the limit grows by one.
+  static constexpr std::chrono::milliseconds kGrowthPeriod{ 200 };
 
   [[nodiscard]] double Limit() const noexcept { return limit_; }
   [[nodiscard]] AimdController After(const WorkSample& aSample) const noexcept;
@@ -65,11 +68,14 @@
 
 private:
   void Decrease(double aFactor, TimePoint aNow) noexcept;
+  void Grow(TimePoint aNow) noexcept;
 
   double limit_ = kInitialConcurrency;
   double ceiling_ = kInitialConcurrency;
   double baseline_ = 0; ///< seconds
+  double recent_ = 0;   ///< seconds
   TimePoint decreasedAt_;
+  TimePoint grownAt_;
 };
 
 /// \brief Scales the limit by the ratio of the long-term to the recent latency.
--- a/src/process/concurrency_controller.cpp
+++ b/src/process/concurrency_controller.cpp
@@ -51,15 +51,26 @@
   }
   const double latency = impl::LatencySeconds(aSample);
   next.baseline_ = impl::UpdatedBaseline(baseline_, latency);
-  const bool slow = baseline_ > 0 && latency > kSlowRatio * baseline_;
+  next.recent_ = recent_ <= 0 ? latency : recent_ + kSmoothing * (latency - recent_);
+  const bool slow = next.recent_ > kSlowRatio * next.baseline_;
   if (slow && !staleSignal) {
     next.Decrease(kSlowFactor, aSample.endedAt_);
   } else if (!slow && aSample.inFlight_ + 1 >= limit_) {
-    next.limit_ = impl::Clamped(limit_ + 1 / limit_, ceiling_);
+    next.Grow(aSample.endedAt_);
   }
   return next;
 }
 
+void
+AimdController::Grow(TimePoint aNow) noexcept
+{
+  const std::chrono::duration<double> elapsed = aNow - grownAt_;
+  const std::chrono::duration<double> period = kGrowthPeriod;
+  const double byTime = std::min(1.0, elapsed.count() / period.count());
+  limit_ = impl::Clamped(limit_ + std::min(byTime, 1 / limit_), ceiling_);
+  grownAt_ = aNow;
+}
+
 AimdController
 AimdController::WithCeiling(std::uint32_t aMost) const noexcept
 {
--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -96,10 +96,13 @@
 {
   auto controller = AimdController{}.WithCeiling(9);
   TimePoint now = kStart;
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < 400; ++i) {
+    const auto before = controller.Limit();
     now += milliseconds(5);
-    const auto running = static_cast<std::uint32_t>(controller.Limit());
+    const auto running = static_cast<std::uint32_t>(before);
     controller = controller.After({ WorkResult::Success, now - milliseconds(5), now, running });
+    // The first success may raise it by one, each later one by its share of the growth period.
+    BOOST_TEST((i == 0 || controller.Limit() <= before + 5.0 / 200 + 1e-9));
   }
   BOOST_TEST(controller.Limit() == 9.0);
   controller = controller.After({ WorkResult::Shed, now, now + milliseconds(1), 9 });
