Requests wait a moment for the next token of their team

Change: up to 32 requests of a team wait at an entry node, for at most 100 ms, first come first served; a new request no longer overtakes waiting ones.

--- a/include/geraniumpin/connection/lease_holder.hpp
+++ b/include/geraniumpin/connection/lease_holder.hpp
@@ -74,6 +74,9 @@
   /// \returns Nothing while an answer is awaited, all homes are exhausted or tokens suffice.
   [[nodiscard]] std::optional<LeaseAsk> NextAsk(TimePoint aNow, std::size_t aWaiting);
 
+  /// \brief The earliest time at which a home node can be asked that has lately had no token.
+  [[nodiscard]] TimePoint RetryAt() const;
+
   /// \brief Takes in an answer; late and repeated ones add nothing.
   void OnGrant(const NodeAddress& aHome, const LeaseGrant& aGrant, TimePoint aNow);
 
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -23,6 +23,13 @@
   /// Longest wait of a request for a token of its team.
   static constexpr std::chrono::milliseconds kTokenWait{ 400 };
 
+  /// Longest wait of a request while every home node of its team has no token.
+  static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
+  /// Least time between two looks at the same waiting requests.
+  static constexpr std::chrono::milliseconds kLeastPause{ 1 };
+  /// Requests of one team that may wait for tokens at this node.
+  static constexpr std::size_t kMostWaiting = 32;
+
   EntryService(NodeContext<Env>& aContext, TeamLimits<Env>& aLimits, const CallTokens& aTokens)
     : context_(aContext)
     , limits_(aLimits)
@@ -115,7 +122,16 @@
 
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const
   {
-    return deadlines_.empty() ? std::nullopt : std::optional(deadlines_.begin()->first);
+    if (deadlines_.empty()) {
+      return std::nullopt;
+    }
+    auto next = deadlines_.begin()->first;
+    for (const auto& [team, ids] : waiting_) {
+      const auto oldest = calls_.at(*ids.begin()).call_.arrivedAt_;
+      const auto retryAt = std::min(limits_.RetryAt(team), oldest + kExhaustedWait);
+      next = std::min(next, std::max(retryAt, context_.Now() + kLeastPause));
+    }
+    return next;
   }
 
   [[nodiscard]] std::size_t InFlight() const noexcept { return calls_.size(); }
@@ -162,7 +178,7 @@
     }
     waiting_[call.decision_.team_].insert(aCall.id_);
     deadlines_.emplace(std::min(deadline, aCall.arrivedAt_ + kTokenWait), aCall.id_);
-    (void)TryCharge(call);
+    OnTokens(call.decision_.team_); // those that came earlier go first
   }
 
   /// \returns Whether the request no longer waits.
@@ -179,6 +195,9 @@
       case TokenState::Awaited:
         return false;
       case TokenState::Exhausted:
+        if (MayWait(aCall)) {
+          return false;
+        }
         Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::OverRate));
         return true;
       case TokenState::Unavailable:
@@ -188,6 +207,13 @@
     return false;
   }
 
+  /// Tokens that come within a moment are worth the wait, unless many wait already.
+  [[nodiscard]] bool MayWait(const EntryCall& aCall) const
+  {
+    const auto& ids = waiting_.at(aCall.decision_.team_);
+    return ids.size() <= kMostWaiting && context_.Now() < aCall.call_.arrivedAt_ + kExhaustedWait;
+  }
+
   void StartAttempt(EntryCall& aCall)
   {
     const auto* chosen = Choose(aCall);
--- a/include/geraniumpin/process/team_limits.hpp
+++ b/include/geraniumpin/process/team_limits.hpp
@@ -72,6 +72,13 @@
              std::nullopt };
   }
 
+  /// \brief The earliest time at which an exhausted team may get a token.
+  [[nodiscard]] TimePoint RetryAt(const std::string& aTeam) const
+  {
+    const auto found = holders_.find(aTeam);
+    return found == holders_.end() ? TimePoint::max() : found->second.RetryAt();
+  }
+
   void Refund(const std::string& aTeam, const SpentToken& aToken)
   {
     HolderOf(aTeam).Refund(aToken, context_.Now());
--- a/src/connection/lease_holder.cpp
+++ b/src/connection/lease_holder.cpp
@@ -91,6 +91,16 @@
     homes_.begin(), homes_.end(), [&](const Home& aHome) { return aNow < aHome.silentUntil_; });
 }
 
+TimePoint
+LeaseHolder::RetryAt() const
+{
+  auto next = TimePoint::max();
+  for (const auto& home : homes_) {
+    next = std::min(next, std::max(home.emptyUntil_, home.silentUntil_));
+  }
+  return next;
+}
+
 std::uint32_t
 LeaseHolder::Unspent(TimePoint aNow) const
 {
