An example that builds and runs, and the demo's convergence time

Cause: examples/ held only the demo script, and the demo printed the time of the second look (0 ms) instead of the time since publication.

--- a/examples/demo.lua
+++ b/examples/demo.lua
@@ -44,7 +44,10 @@
   end
 end
 document.failure_domains[3].in_service = false
+local published = now_ms()
 mesh:publish(document)
+mesh:wait_version(2, 8000)
+print("  in force on all 6 nodes " .. now_ms() - published .. " ms after its publication")
 spawn("watch", { "geraniumpinctl", "watch", "2", "--platform", mesh.platform })
 check(wait_exit("watch", 10000) == 0, "version 2 is not in force everywhere")
 print("  geraniumpinctl: " .. read_file(LOGS .. "/watch.log"):gsub("\n", ""))
--- /dev/null
+++ b/examples/validate_document.cpp
@@ -0,0 +1,44 @@
+/// \brief Example: reads a document, publishes it to a VersionStore and asks for a route.
+///
+/// Build it with the project and run `validate_document examples/mesh.json`.
+
+#include "../src/adapters/process/settings_json.hpp"
+#include "../src/adapters/version/document_json.hpp"
+#include "geraniumpin/geraniumpin.hpp"
+
+#include <iostream>
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace geraniumpin;
+
+  const std::string path = aCount > 1 ? aArguments[1] : "examples/mesh.json";
+  const auto document = EncodeDocument(path, ReadFile(path).value_or(""));
+  if (!document) {
+    for (const auto& fault : document.error()) {
+      std::cerr << ToString(fault) << "\n";
+    }
+    return 1;
+  }
+
+  VersionStore store;
+  const Delta delta{
+    .from_ = {}, .to_ = IdOf(document->manifest_), .changed_ = document->parts_, .removed_ = {}
+  };
+  const auto snapshot = store.Apply(delta, JsonPartCodec{});
+  if (!snapshot) {
+    std::cerr << ToString(snapshot.error().refusal_) << "\n";
+    return 1;
+  }
+
+  const auto decision =
+    DecideRoute(*snapshot, "GET", "/arquivo/slab", Digest::Of("key-of-clinica"), KeyTrust::Current);
+  if (!decision) {
+    std::cerr << "refused: " << ToString(decision.error()) << "\n";
+    return 1;
+  }
+  std::cout << "version " << store.CurrentId().number_ << ": route " << decision->route_.name_
+            << " for team " << decision->team_ << "\n";
+  return 0;
+}
