--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -281,6 +281,7 @@
     return PrintNoAnswer("platform " + aOptions.platform_);
   }
   const auto startedAt = reader.Now();
+  std::optional<std::size_t> lastInForce;
   while (true) {
     const auto progress = Look(reader, *list, aOptions.version_);
     const auto elapsed =
@@ -290,6 +291,10 @@
       PrintProgress(aOptions, progress, elapsed.count());
       return progress.lagging_.empty() ? kExitGood : kExitNotAsAsked;
     }
+    if (progress.inForce_ != lastInForce) {
+      PrintProgress(aOptions, progress, elapsed.count());
+      lastInForce = progress.inForce_;
+    }
     reader.Pause(kWatchPause);
   }
 }
