The test of an outranked home moves the home

Cause: with claims taken out of the code, the test of a hidden home that a new version outranks still passed: the nodes it added did not outrank the home. Change: it adds and starts a node that does; nothing is eased. Measured: without claims the team exceeds by 308 requests and the test fails; with them it passes, with all 8 cases of the file.

--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -186,12 +186,19 @@
 BOOST_AUTO_TEST_CASE(a_hidden_home_that_a_version_outranks_has_no_second_beside_it)
 {
   FakeLinks links(2);
-  const auto check = OverloadWithHiddenHome(links, [](nlohmann::json& aDocument) {
+  const auto check = OverloadWithHiddenHome(links, [&links](nlohmann::json& aDocument) {
+    std::vector<NodeAddress> nodes;
     auto& servers = aDocument["services"][0]["backend_servers"];
-    for (int i = 50; i < 54; ++i) {
-      servers.push_back(
-        { { "name", "added" }, { "failure_domain", "zone-1" }, { "node", NodeAt(1, i).Text() } });
+    for (const auto& server : servers) {
+      nodes.push_back(*NodeAddress::Parse(server["node"].get<std::string>()));
+    }
+    nodes.push_back(NodeAt(1, 50));
+    for (int i = 51; FirstNode("home/large", nodes) != nodes.back(); ++i) {
+      nodes.back() = NodeAt(1, i);
     }
+    servers.push_back(
+      { { "name", "added" }, { "failure_domain", "zone-1" }, { "node", nodes.back().Text() } });
+    links.Start(nodes.back(), "zone-1");
   });
   BOOST_TEST(check.Lowest() >= -kRoundingSlack);
 }
