--- a/src/version/snapshot_checks.cpp
+++ b/src/version/snapshot_checks.cpp
@@ -25,6 +25,8 @@
     if (!faults_.empty()) {
       return faults_;
     }
+    domainsKnown_ =
+      IsKnown(part_name::kFailureDomains, parts_.find(part_name::kFailureDomains)->second);
     CollectNames();
     for (const auto& [name, part] : parts_) {
       if (!IsSettled(name, part)) {
@@ -85,8 +87,7 @@
   /// A service that was valid before stays so as long as the failure domains are the same.
   [[nodiscard]] bool IsSettled(std::string_view aName, const SharedPart& aPart) const
   {
-    return std::holds_alternative<Service>(*aPart) && IsKnown(aName, aPart) &&
-           IsKnown(part_name::kFailureDomains, parts_.find(part_name::kFailureDomains)->second);
+    return domainsKnown_ && std::holds_alternative<Service>(*aPart) && IsKnown(aName, aPart);
   }
 
   [[nodiscard]] bool IsKnown(std::string_view aName, const SharedPart& aPart) const
@@ -220,6 +221,7 @@
   const Manifest& manifest_;
   const DecodedParts& parts_;
   const DecodedParts* known_;
+  bool domainsKnown_ = false; ///< the failure domains are those of the known parts
   Faults faults_;
   std::set<std::string_view> failureDomains_;
   std::set<std::string_view> teams_;
--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -40,6 +40,29 @@
 
 constexpr double kRoundingSlack = 1e-6;
 
+/// \brief When the backend servers started requests, in order.
+std::vector<TimePoint>
+StartsOf(const FakeLinks& aLinks)
+{
+  std::vector<TimePoint> starts;
+  starts.reserve(aLinks.runs_.size());
+  for (const auto& [id, at] : aLinks.runs_) {
+    starts.push_back(at);
+  }
+  std::sort(starts.begin(), starts.end());
+  return starts;
+}
+
+WindowCheck
+CheckWindows(const std::vector<TimePoint>& aStarts, double aRate, double aBurst)
+{
+  WindowCheck check(aRate, aBurst);
+  for (const auto at : aStarts) {
+    check.Charge(at);
+  }
+  return check;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_bucket_lends_no_more_than_its_burst_and_refills_at_its_rate)
@@ -152,17 +175,9 @@
     aLinks.Run(milliseconds(10));
   }
   BOOST_TEST(aLinks.At(hidden).Status().version_.number_ == 1U);
-  WindowCheck check(kOneDomain.rate_, kOneDomain.burst_);
-  std::vector<TimePoint> starts;
-  for (const auto& [id, at] : aLinks.runs_) {
-    starts.push_back(at);
-  }
-  std::sort(starts.begin(), starts.end());
-  for (const auto at : starts) {
-    check.Charge(at);
-  }
+  const auto starts = StartsOf(aLinks);
   BOOST_TEST(starts.size() > 200U);
-  return check;
+  return CheckWindows(starts, kOneDomain.rate_, kOneDomain.burst_);
 }
 
 } // namespace
@@ -260,15 +275,8 @@
       }
     }
     links.Run(std::chrono::seconds(5));
-    WindowCheck check(kRate, kBurst);
-    std::vector<TimePoint> starts;
-    for (const auto& [id, at] : links.runs_) {
-      starts.push_back(at);
-    }
-    std::sort(starts.begin(), starts.end());
-    for (const auto at : starts) {
-      check.Charge(at);
-    }
+    const auto starts = StartsOf(links);
+    const auto check = CheckWindows(starts, kRate, kBurst);
     BOOST_TEST(starts.size() > 100U, "seed " << seed << " ran " << starts.size());
     BOOST_TEST(check.Lowest() >= -kRoundingSlack,
                "seed " << seed << " exceeded by " << -check.Lowest() << " of " << starts.size());
