--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -1,13 +1,15 @@
 #include "commands.hpp"
 
 #include "../src/adapters/connection/http_client.hpp"
-#include "../src/adapters/connection/platform_client.hpp"
+#include "../src/adapters/connection/json_platform.hpp"
 #include "../src/adapters/process/settings_json.hpp"
 #include "../src/adapters/process/system_clock.hpp"
 #include "../src/adapters/version/document_json.hpp"
 
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
@@ -35,7 +37,7 @@
 {
 public:
   MeshReader()
-    : client_(loop_, { kSilence, kMostBytes, 1 })
+    : client_(loop_, { kSilence, kMostBytes })
   {
   }
 
@@ -54,15 +56,24 @@
       done = true;
     });
     while (!done) {
-      loop_.RunOnce(clock_.Now() + kSilence);
+      RunOnce(clock_.Now() + kSilence);
     }
     return body;
   }
 
   std::optional<VmList> Vms(const std::string& aPlatform)
   {
-    const auto text = Get(aPlatform, "/v1/vms?after=0");
-    return text ? ParseVmList(*text) : std::nullopt;
+    const auto text = Get(aPlatform, JsonPlatform::PagePath(""));
+    if (!text) {
+      return std::nullopt;
+    }
+    const auto read = JsonPlatform::Parse({ .status_ = 200, .body_ = MakeBody(*text) });
+    for (const auto& item : read.items_) {
+      if (item.key_ == JsonItemDecoder::kVmListKey && item.value_) {
+        return ParseVmList(*item.value_);
+      }
+    }
+    return std::nullopt;
   }
 
   std::vector<NodeReport> Statuses(const VmList& aList)
@@ -84,7 +95,7 @@
           }
         });
       }
-      loop_.RunOnce(clock_.Now() + kWatchPause);
+      RunOnce(clock_.Now() + kWatchPause);
     }
     return reports;
   }
@@ -93,30 +104,55 @@
   {
     const auto end = clock_.Now() + aTime;
     while (clock_.Now() < end) {
-      loop_.RunOnce(end);
+      RunOnce(end);
     }
   }
 
   [[nodiscard]] TimePoint Now() const { return clock_.Now(); }
 
 private:
+  using Receiver = std::function<void(std::optional<std::string>)>;
+
+  /// A question that waits for its answer.
+  struct Question
+  {
+    TimePoint deadline_;
+    Receiver done_;
+  };
+
+  /// Handles what happens, and gives up questions that were not answered in time.
+  void RunOnce(TimePoint aUntil)
+  {
+    loop_.RunOnce(aUntil);
+    const auto now = clock_.Now();
+    while (!questions_.empty() && questions_.begin()->second.deadline_ <= now) {
+      auto question = questions_.extract(questions_.begin());
+      client_.Cancel(question.key());
+      question.mapped().done_(std::nullopt);
+    }
+  }
+
   void Start(const NodeAddress& aAddress,
              const std::string& aPath,
              const HeaderFields& aHeaders,
-             std::function<void(std::optional<std::string>)> aDone)
+             Receiver aDone)
   {
     const HttpRequest request{
-      .method_ = "GET", .path_ = aPath, .headers_ = aHeaders, .body_ = {}
+      .method_ = "GET", .host_ = {}, .path_ = aPath, .headers_ = aHeaders, .body_ = {}
     };
-    client_.Start(aAddress, request, [done = std::move(aDone)](const HttpResult& aResult) {
+    const auto number = std::make_shared<ClientExchangeId>();
+    *number = client_.Start(aAddress, request, {}, [this, number](const HttpResult& aResult) {
       const bool good = aResult.end_ == HttpEnd::Complete && aResult.response_.status_ == 200;
-      done(good ? std::optional(*aResult.response_.body_) : std::nullopt);
+      auto question = questions_.extract(*number);
+      question.mapped().done_(good ? std::optional(*aResult.response_.body_) : std::nullopt);
     });
+    questions_.emplace(*number, Question{ clock_.Now() + kSilence, std::move(aDone) });
   }
 
   SystemClock clock_;
   EventLoop loop_;
   HttpClient client_;
+  std::map<ClientExchangeId, Question> questions_;
 };
 
 json
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,6 @@
 /// \brief geraniumpind: the node that runs beside each backend server.
 
-#include "../src/adapters/process/glog_log.hpp"
+#include "../platform/users_interface.hpp"
 #include "../src/adapters/process/node_process.hpp"
 #include "../src/adapters/process/settings_json.hpp"
 
@@ -41,6 +41,10 @@
     return 0;
   }
   geraniumpin::StartLogging(aArguments[0]);
-  geraniumpin::NodeProcess process(*settings);
+  if (settings->InterfaceForm() == geraniumpin::Interface::Users) {
+    geraniumpin::NodeProcess<geraniumpin::UsersInterface> process(*settings, path);
+    return process.Run();
+  }
+  geraniumpin::NodeProcess<geraniumpin::OwnInterface> process(*settings, path);
   return process.Run();
 }
--- a/examples/validate_document.cpp
+++ b/examples/validate_document.cpp
@@ -32,8 +32,8 @@
     return 1;
   }
 
-  const auto decision =
-    DecideRoute(*snapshot, "GET", "/arquivo/slab", Digest::Of("key-of-clinica"), KeyTrust::Current);
+  const auto decision = DecideRoute(
+    *snapshot, "", "GET", "/arquivo/slab", Digest::Of("key-of-clinica"), KeyTrust::Current);
   if (!decision) {
     std::cerr << "refused: " << ToString(decision.error()) << "\n";
     return 1;
--- a/include/geraniumpin/connection/backend_connection.hpp
+++ b/include/geraniumpin/connection/backend_connection.hpp
@@ -20,7 +20,11 @@
 struct BackendRequest
 {
   const AttemptId id_;
+  const std::string requestId_;
+  const std::string instance_; ///< the instance that must run it
+  const std::string team_;     ///< empty on open routes
   const std::string method_;
+  const std::string host_;
   const std::string path_;
   const HeaderFields headers_;
   const Body body_;
@@ -33,6 +37,7 @@
 {
   Answered,
   Shed,          ///< it refused before it started the work
+  OtherInstance, ///< another instance has the address; nothing ran
   ConnectFailed, ///< the request was not sent
   Broken         ///< the connection ended after the request was sent
 };
--- a/include/geraniumpin/connection/config_watch.hpp
+++ b/include/geraniumpin/connection/config_watch.hpp
@@ -1,43 +1,51 @@
 #pragma once
 
 #include "geraniumpin/process/clock.hpp"
-#include "geraniumpin/version/digest.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace geraniumpin {
 
-/// \brief A live or leaving VM as the platform lists it.
-struct ListedVm
+/// \brief One item as the platform holds it.
+struct PublishedItem
 {
-  NodeAddress node_;
-  NodeAddress admin_;
-  std::string failureDomain_;
-  bool leaving_ = false;
+  std::string key_;
+  std::optional<std::string> value_; ///< nothing: the item was removed
 
-  auto operator<=>(const ListedVm&) const = default;
+  auto operator<=>(const PublishedItem&) const = default;
 };
 
-/// \brief The platform's list of VMs at one revision.
-struct VmList
+/// \brief How a read of the platform ended.
+enum class ReadResult
 {
-  std::uint64_t revision_ = 0;
-  std::vector<ListedVm> vms_;
+  Complete,
+  HistoryGone, ///< the changes after that revision are no longer available
+  Failed
+};
 
-  auto operator<=>(const VmList&) const = default;
+/// \brief What a read of the platform returned.
+struct ItemsRead
+{
+  ReadResult result_ = ReadResult::Failed;
+  std::vector<PublishedItem> items_;
+  bool hasMore_ = false;       ///< further pages follow the last key
+  std::uint64_t revision_ = 0; ///< of the platform when it answered
+  std::string detail_;         ///< why it failed; for logs
 };
 
-/// \brief Reads the platform; results arrive as events at the node.
+/// \brief Reads the platform; each read ends with one ItemsRead at the node unless it is cancelled.
 template<class S>
-concept ConfigSource = requires(S& aSource, std::uint64_t aRevision, const Digest& aDigest)
+concept ConfigSource =
+  requires(S& aSource, const std::string& aAfterKey, std::uint64_t aRevision, Duration aWait)
 {
-  aSource.FetchHead(aRevision); ///< waits for a revision above this one; 0 answers at once
-  aSource.FetchContent(aDigest);
-  aSource.FetchVmList(aRevision);
+  aSource.ReadItems(aAfterKey);         ///< a page of all items; an empty key means the first one
+  aSource.WatchItems(aRevision, aWait); ///< waits for changes after the revision
+  aSource.CancelRead();                 ///< gives up the read in flight
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -18,10 +18,14 @@
 {
   const CallId id_;
   const std::uint32_t attempt_ = 0;
+  const std::string requestId_; ///< as the caller named the request; for logs
   const std::string route_;
-  const std::string team_; ///< empty on open routes
-  const Digest keyDigest_; ///< zero on open routes and on calls with a call token
+  const std::string service_;    ///< the destination that the entry node chose
+  const std::uint32_t rank_ = 0; ///< order among waiting requests, the lowest first
+  const std::string team_;       ///< empty on open routes
+  const Digest keyDigest_;       ///< zero on open routes and on calls with a call token
   const std::string method_;
+  const std::string host_; ///< as the caller named it
   const std::string path_;
   const HeaderFields headers_;
   const Body body_;
--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "geraniumpin/process/cold_gate.hpp"
 #include "geraniumpin/process/concurrency_controller.hpp"
-#include "geraniumpin/process/fair_queue.hpp"
+#include "geraniumpin/process/ranked_queue.hpp"
 #include "geraniumpin/request/instance_choice.hpp"
 #include "geraniumpin/request/outcome.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <tl/expected.hpp>
 #include <vector>
@@ -34,7 +36,7 @@
 class Admission
 {
 public:
-  static constexpr std::size_t kMostQueuedPerTeam = 32;
+  static constexpr std::size_t kMostQueuedPerTeam = 64;
 
   /// \param aSlots Requests that the backend server bears when warm.
   explicit Admission(std::uint32_t aSlots)
@@ -45,19 +47,27 @@
 
   void SetSlots(std::uint32_t aSlots) { controller_ = controller_.WithCeiling(aSlots); }
 
-  /// \brief Forgets how much the backend server bore, which may be cold by now.
-  void RestartProbing(std::uint32_t aSlots) { controller_ = Controller{}.WithCeiling(aSlots); }
+  /// \brief Forgets how much the backend server bore.
+  /// \param aController Adapts the limit from now on.
+  void Restart(const Controller& aController, std::uint32_t aSlots)
+  {
+    controller_ = aController.WithCeiling(aSlots);
+  }
+
+  /// \brief What holds requests back while the backend server is cold.
+  [[nodiscard]] ColdGate& Gate() noexcept { return gate_; }
+  [[nodiscard]] const ColdGate& Gate() const noexcept { return gate_; }
 
   /// \brief Starts, queues or refuses a request.
   /// \returns The reason of the refusal if it would miss its deadline or the queue is full.
   [[nodiscard]] tl::expected<Admitted, Reason> Offer(const QueuedWork<Ticket>& aWork,
                                                      TimePoint aNow)
   {
-    if (queue_.Size() == 0 && HasRoom()) {
-      ++inFlight_;
+    if (queue_.Size() == 0 && HasRoom(aNow)) {
+      Begin(aNow);
       return Admitted::Start;
     }
-    if (aNow + ExpectedWait() + aWork.cost_ > aWork.deadline_) {
+    if (aNow + ExpectedWait(aWork.rank_, aNow) + aWork.cost_ > aWork.deadline_) {
       return tl::make_unexpected(Reason::DeadlinePassed);
     }
     if (!queue_.Push(aWork)) {
@@ -88,12 +98,12 @@
   {
     auto expired = queue_.RemoveExpired(aNow);
     std::vector<Ticket> start;
-    while (HasRoom()) {
+    while (HasRoom(aNow)) {
       auto work = queue_.Pop();
       if (!work) {
         break;
       }
-      ++inFlight_;
+      Begin(aNow);
       start.push_back(std::move(work->ticket_));
     }
     return { .start_ = std::move(start), .expired_ = std::move(expired) };
@@ -102,36 +112,63 @@
   /// \returns Whether the request was waiting.
   bool RemoveQueued(const Ticket& aTicket) { return queue_.Remove(aTicket); }
 
-  [[nodiscard]] std::optional<TimePoint> NextDeadline() const { return queue_.NextDeadline(); }
+  [[nodiscard]] std::optional<TimePoint> NextDeadline(TimePoint aNow) const
+  {
+    auto next = queue_.NextDeadline();
+    if (next && HasSlot()) {
+      if (const auto opens = gate_.NextDeadline(aNow)) {
+        next = std::min(*next, *opens);
+      }
+    }
+    return next;
+  }
   [[nodiscard]] std::uint32_t InFlight() const noexcept { return inFlight_; }
-  [[nodiscard]] std::size_t Queued() const noexcept { return queue_.Size(); }
+  [[nodiscard]] std::size_t Queued() const { return queue_.Size(); }
   [[nodiscard]] double Limit() const noexcept { return controller_.Limit(); }
   [[nodiscard]] Duration ServiceTime() const noexcept { return serviceTime_; }
 
+  /// \brief When a request that is refused now could start.
+  [[nodiscard]] Duration RetryAfter(std::uint32_t aRank, TimePoint aNow) const
+  {
+    return ExpectedWait(aRank, aNow);
+  }
+
   /// \brief Running and queued requests as a share of the concurrency limit.
   ///
   /// A backend server that refused its last request counts as fully loaded: it answers so fast that
   /// it would seem idle.
-  [[nodiscard]] double Load() const noexcept
+  [[nodiscard]] double Load() const
   {
     const double share = (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
     return refusing_ ? share + 1 : share;
   }
 
 private:
-  [[nodiscard]] bool HasRoom() const noexcept
+  void Begin(TimePoint aNow)
+  {
+    ++inFlight_;
+    gate_.Count(aNow);
+  }
+
+  [[nodiscard]] bool HasSlot() const noexcept
   {
     return inFlight_ < std::floor(controller_.Limit());
   }
 
-  [[nodiscard]] Duration ExpectedWait() const
+  [[nodiscard]] bool HasRoom(TimePoint aNow) const { return HasSlot() && gate_.Allows(aNow); }
+
+  [[nodiscard]] Duration ExpectedWait(std::uint32_t aRank, TimePoint aNow) const
   {
-    const double rounds = (static_cast<double>(queue_.Size()) + 1) / controller_.Limit();
-    return std::chrono::duration_cast<Duration>(serviceTime_ * rounds);
+    const auto before = static_cast<double>(queue_.Before(aRank));
+    const double rounds = HasSlot() ? 0 : (before + 1) / controller_.Limit();
+    const auto wait = std::chrono::duration_cast<Duration>(serviceTime_ * rounds);
+    const auto opens = gate_.NextDeadline(aNow);
+    return opens ? std::max(wait, *opens - aNow) : wait;
   }
 
   Controller controller_;
-  FairQueue<Ticket> queue_;
+  RankedQueue<Ticket> queue_;
+  ColdGate gate_;
   std::uint32_t inFlight_ = 0;
   Duration serviceTime_{};
   bool refusing_ = false;
--- /dev/null
+++ b/include/geraniumpin/process/cold_gate.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace geraniumpin {
+
+/// \brief Limits the requests that start in any second while an instance is cold.
+///
+/// Answers the load pattern "cold return": an instance that starts while traffic runs would fall
+/// over under its full share.
+///
+/// \code
+/// gate.SetRate(32);
+/// gate.CloseUntil(now + 3s);
+/// if (gate.Allows(now)) { gate.Count(now); }
+/// \endcode
+class ColdGate
+{
+public:
+  static constexpr std::chrono::seconds kWindow{ 1 };
+
+  /// \param aPerSecond Requests that a cold instance bears; 0: no limit.
+  void SetRate(double aPerSecond) noexcept { perSecond_ = aPerSecond; }
+
+  /// \brief Says that the instance counts as cold until that time at least.
+  void CloseUntil(TimePoint aTime) noexcept { until_ = std::max(until_, aTime); }
+
+  /// \brief Says whether the platform reports the instance as cold.
+  void SetReported(bool aCold) noexcept { reported_ = aCold; }
+
+  /// \brief Says that the instance is known to be warm.
+  void Open() noexcept
+  {
+    until_ = {};
+    reported_ = false;
+  }
+
+  [[nodiscard]] bool IsCold(TimePoint aNow) const noexcept { return reported_ || aNow < until_; }
+
+  /// \brief Says whether another request may start.
+  [[nodiscard]] bool Allows(TimePoint aNow) const
+  {
+    return !IsLimiting(aNow) || CountSince(aNow - kWindow) < Most();
+  }
+
+  /// \brief Notes that a request starts; also while the instance is warm, since it may turn cold.
+  void Count(TimePoint aNow)
+  {
+    starts_.push_back(aNow);
+    while (starts_.front() <= aNow - kWindow) {
+      starts_.pop_front();
+    }
+  }
+
+  /// \brief When another request may start, if none may now.
+  [[nodiscard]] std::optional<TimePoint> NextDeadline(TimePoint aNow) const
+  {
+    if (Allows(aNow)) {
+      return std::nullopt;
+    }
+    const auto opens = starts_[starts_.size() - Most()] + kWindow;
+    return reported_ ? opens : std::min(opens, std::max(until_, aNow));
+  }
+
+private:
+  [[nodiscard]] bool IsLimiting(TimePoint aNow) const noexcept
+  {
+    return perSecond_ > 0 && IsCold(aNow);
+  }
+
+  [[nodiscard]] std::size_t Most() const noexcept
+  {
+    return static_cast<std::size_t>(std::max(1.0, std::floor(perSecond_)));
+  }
+
+  [[nodiscard]] std::size_t CountSince(TimePoint aTime) const
+  {
+    const auto first = std::upper_bound(starts_.begin(), starts_.end(), aTime);
+    return static_cast<std::size_t>(starts_.end() - first);
+  }
+
+  double perSecond_ = 0;
+  TimePoint until_;
+  bool reported_ = false;
+  std::deque<TimePoint> starts_; ///< of the last second
+};
+
+} // namespace geraniumpin
--- a/include/geraniumpin/process/concurrency_controller.hpp
+++ b/include/geraniumpin/process/concurrency_controller.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <concepts>
 #include <cstdint>
+#include <variant>
 
 namespace geraniumpin {
 
@@ -78,6 +79,30 @@
   TimePoint grownAt_;
 };
 
+/// \brief Runs as many requests as the instance has slots, and fewer after refusals.
+///
+/// Fits instances that state their slots. Latency is no signal here: work differs a hundredfold
+/// from request to request, and an instance with free slots does not slow down.
+class SlotController
+{
+public:
+  static constexpr double kShedFactor = 0.7;
+  /// Time in which the limit grows back by one.
+  static constexpr std::chrono::milliseconds kGrowthPeriod{ 100 };
+
+  [[nodiscard]] double Limit() const noexcept { return limit_; }
+  [[nodiscard]] SlotController After(const WorkSample& aSample) const noexcept;
+  /// \brief Takes the slots of the instance; the limit begins there.
+  [[nodiscard]] SlotController WithCeiling(std::uint32_t aMost) const noexcept;
+
+  auto operator<=>(const SlotController&) const = default;
+
+private:
+  double limit_ = 0;
+  double ceiling_ = 0;
+  TimePoint changedAt_;
+};
+
 /// \brief Scales the limit by the ratio of the long-term to the recent latency.
 class GradientController
 {
@@ -97,4 +122,40 @@
   double longTerm_ = 0; ///< seconds
 };
 
+/// \brief The controller of one instance: by its stated slots, or by probing if it states none.
+class InstanceController
+{
+public:
+  [[nodiscard]] static InstanceController For(bool aStatesSlots)
+  {
+    InstanceController controller;
+    if (aStatesSlots) {
+      controller.inner_ = SlotController{};
+    }
+    return controller;
+  }
+
+  [[nodiscard]] double Limit() const noexcept
+  {
+    return std::visit([](const auto& aInner) { return aInner.Limit(); }, inner_);
+  }
+  [[nodiscard]] InstanceController After(const WorkSample& aSample) const noexcept
+  {
+    auto next = *this;
+    std::visit([&](auto& aInner) { aInner = aInner.After(aSample); }, next.inner_);
+    return next;
+  }
+  [[nodiscard]] InstanceController WithCeiling(std::uint32_t aMost) const noexcept
+  {
+    auto next = *this;
+    std::visit([&](auto& aInner) { aInner = aInner.WithCeiling(aMost); }, next.inner_);
+    return next;
+  }
+
+  auto operator<=>(const InstanceController&) const = default;
+
+private:
+  std::variant<AimdController, SlotController> inner_;
+};
+
 } // namespace geraniumpin
--- a/include/geraniumpin/process/config_service.hpp
+++ b/include/geraniumpin/process/config_service.hpp
@@ -2,11 +2,15 @@
 
 #include "geraniumpin/process/dissemination.hpp"
 #include "geraniumpin/process/node_context.hpp"
+#include "geraniumpin/process/placement_hash.hpp"
+#include "geraniumpin/process/watch_duty.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace geraniumpin {
@@ -18,6 +22,10 @@
 public:
   /// Time after which an unanswered pull is sent again.
   static constexpr std::chrono::milliseconds kPullTimeout{ 500 };
+  /// Time that a node which reads the platform itself gives its own read before it pulls.
+  static constexpr std::chrono::milliseconds kOwnReadFirst{ 300 };
+  /// Readers of a failure domain that pass a version on; the others only read.
+  static constexpr std::size_t kSpreaders = 2;
 
   /// \param aOnSnapshot Called after each change of the running snapshot.
   ConfigService(NodeContext<Env>& aContext, std::function<void(const Snapshot&)> aOnSnapshot)
@@ -38,7 +46,27 @@
     if (pushIsHere || now < pullAgainAt_) {
       return;
     }
-    Pull(aEnvelope.sender_);
+    if (RankAsReader() >= kWatchers) {
+      Pull(aEnvelope.sender_);
+    } else if (!laterPull_) {
+      laterPull_ = LaterPull{ aEnvelope.sender_, aEnvelope.announced_, now + kOwnReadFirst };
+    }
+  }
+
+  void OnTimer()
+  {
+    if (!laterPull_ || context_.Now() < laterPull_->at_) {
+      return;
+    }
+    const auto pull = *std::exchange(laterPull_, std::nullopt);
+    if (!context_.Versions().Screen(pull.version_)) {
+      Pull(pull.peer_);
+    }
+  }
+
+  [[nodiscard]] std::optional<TimePoint> NextDeadline() const
+  {
+    return laterPull_ ? std::optional(laterPull_->at_) : std::nullopt;
   }
 
   /// \brief Asks a peer for its version.
@@ -78,9 +106,13 @@
     if (Apply(aDelta, "platform")) {
       return false;
     }
-    PushTo(Roots(), before);
-    PushTo(Children(), before); // the push from the roots will find the version here already
-    AnnounceOutside();
+    const auto rank = RankAsReader();
+    if (rank < kSpreaders) {
+      PushTo(Roots(), before);
+    }
+    if (rank == 0) {
+      AnnounceOutside();
+    }
     return true;
   }
 
@@ -161,21 +193,48 @@
     }
   }
 
+  /// A pull that waits for this node's own read of the platform.
+  struct LaterPull
+  {
+    NodeAddress peer_;
+    VersionId version_;
+    TimePoint at_;
+  };
+
+  [[nodiscard]] std::vector<NodeAddress> WorkingNodes() const
+  {
+    std::vector<NodeAddress> working;
+    const auto& domain = context_.NodeSettings().FailureDomainName();
+    for (const auto& node : context_.Versions().Current()->NodesOf(domain)) {
+      if (node == context_.Self() || context_.Members().TakesWork(node)) {
+        working.push_back(node);
+      }
+    }
+    return working;
+  }
+
+  [[nodiscard]] std::size_t RankAsReader() const
+  {
+    if (!context_.Versions().Current()) {
+      return kWatchers;
+    }
+    return RankOf(
+      ReaderSubject(context_.NodeSettings().FailureDomainName()), context_.Self(), WorkingNodes());
+  }
+
   [[nodiscard]] std::vector<NodeAddress> Children() const
   {
     return TreeChildren(context_.Versions().CurrentId().number_, context_.Self(), Members());
   }
 
+  /// The nodes among which a version spreads: those that do not read the platform themselves.
   [[nodiscard]] std::vector<NodeAddress> Members() const
   {
-    std::vector<NodeAddress> members;
-    const auto& snapshot = *context_.Versions().Current();
-    for (const auto& node : snapshot.NodesOf(context_.NodeSettings().FailureDomainName())) {
-      if (node == context_.Self() || context_.Members().TakesWork(node)) {
-        members.push_back(node);
-      }
-    }
-    return members;
+    auto ranked =
+      RankNodes(ReaderSubject(context_.NodeSettings().FailureDomainName()), WorkingNodes());
+    ranked.erase(ranked.begin(),
+                 ranked.begin() + static_cast<std::ptrdiff_t>(std::min(kWatchers, ranked.size())));
+    return ranked;
   }
 
   [[nodiscard]] std::vector<NodeAddress> Roots() const
@@ -218,6 +277,7 @@
   NodeContext<Env>& context_;
   std::function<void(const Snapshot&)> onSnapshot_;
   TimePoint pullAgainAt_;
+  std::optional<LaterPull> laterPull_;
   VersionId reportedConflict_;
 };
 
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -4,6 +4,7 @@
 #include "geraniumpin/process/instance_hints.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/team_limits.hpp"
+#include "geraniumpin/request/destination_choice.hpp"
 #include "geraniumpin/request/entry_call.hpp"
 #include "geraniumpin/request/retry_policy.hpp"
 
@@ -27,6 +28,8 @@
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
   /// Least time between two looks at the same waiting requests.
   static constexpr std::chrono::milliseconds kLeastPause{ 1 };
+  /// Route priorities are below this, so that a team's priority goes before a route's.
+  static constexpr std::uint32_t kRanksPerTeamPriority = 1001;
   /// Requests of one team that may wait for tokens at this node.
   static constexpr std::size_t kMostWaiting = 32;
 
@@ -51,6 +54,7 @@
       return;
     }
     auto decision = DecideRoute(context_.Versions().Current(),
+                                aCall.host_,
                                 aCall.method_,
                                 aCall.path_,
                                 KeyDigestOf(aCall, holder),
@@ -171,8 +175,11 @@
           EntryCall{ .call_ = aCall, .decision_ = std::move(aDecision), .deadline_ = deadline })
         .first->second;
     deadlines_.emplace(deadline, aCall.id_);
-    const bool charged = call.decision_.route_.access_ == Access::Keyed && aHolder == nullptr;
-    if (!charged) {
+    call.service_ =
+      destinations_.Next(call.decision_.route_, DrawFraction(context_.Outside().random_));
+    const auto* team = call.decision_.snapshot_->FindTeam(call.decision_.team_);
+    const bool isLimited = team != nullptr && team->ratePerSecond_ > 0;
+    if (!isLimited || aHolder != nullptr) {
       StartAttempt(call);
       return;
     }
@@ -229,10 +236,14 @@
     context_.Send(chosen->node_,
                   CallRequest{ .id_ = call.id_,
                                .attempt_ = aCall.attempts_,
+                               .requestId_ = call.requestId_,
                                .route_ = aCall.decision_.route_.name_,
+                               .service_ = aCall.service_,
+                               .rank_ = RankOf(aCall.decision_),
                                .team_ = aCall.decision_.team_,
                                .keyDigest_ = aCall.decision_.keyDigest_,
                                .method_ = call.method_,
+                               .host_ = call.host_,
                                .path_ = call.path_,
                                .headers_ = call.headers_,
                                .body_ = call.body_,
@@ -240,19 +251,31 @@
                                .remaining_ = aCall.deadline_ - context_.Now() });
   }
 
+  /// Calls that backend servers make go first, since a refused one fails its parent; then the
+  /// team's priority counts, then the route's.
+  [[nodiscard]] static std::uint32_t RankOf(const RouteDecision& aDecision)
+  {
+    const auto* team = aDecision.snapshot_->FindTeam(aDecision.team_);
+    const auto ofTeam = team == nullptr ? 0 : (team->priority_ + 1) * kRanksPerTeamPriority;
+    return ofTeam + aDecision.route_.priority_;
+  }
+
   [[nodiscard]] const BackendServer* Choose(EntryCall& aCall)
   {
     const auto& decision = aCall.decision_;
-    const auto candidates = hints_.Candidates(*decision.snapshot_,
-                                              decision.service_,
+    // Instances come and go faster than routes change, so the newest list of them counts.
+    const auto& snapshot = context_.Versions().Current();
+    const auto candidates = hints_.Candidates(*snapshot,
+                                              aCall.service_,
                                               context_.Members(),
                                               context_.NodeSettings().FailureDomainName(),
                                               aCall.tried_,
                                               context_.Now());
-    const auto narrowed = hints_.Narrow(decision.service_.name_, candidates);
+    const auto narrowed = hints_.Narrow(aCall.service_, candidates);
     const auto* chosen = ChooseInstance(narrowed, context_.Outside().random_);
-    context_.Write(LogEvent("route")
+    context_.Write(LogEvent("route", Severity::Routine)
                      .With("call", ToString(aCall.call_.id_))
+                     .With("request", aCall.call_.requestId_)
                      .With("attempt", aCall.attempts_ + 1)
                      .With("version", decision.snapshot_->Id().number_)
                      .With("team", decision.team_)
@@ -272,17 +295,21 @@
     if (aAnswer.reason_ == Reason::WrongNode) {
       aCall.tried_.erase(aCall.owner_); // its reply has told the new incarnation
     }
+    const bool reached = MayHaveReachedInstance(aAnswer.outcome_, aAnswer.reason_);
+    aCall.sends_ += reached ? 1 : 0;
     const RetryFacts facts{ .outcome_ = aAnswer.outcome_,
                             .reason_ = aAnswer.reason_,
                             .idempotent_ = aCall.decision_.route_.idempotent_,
                             .beforeDeadline_ = context_.Now() < aCall.deadline_,
-                            .attempts_ = aCall.attempts_ };
+                            .attempts_ = aCall.attempts_,
+                            .sends_ = aCall.sends_,
+                            .mostSends_ = aCall.decision_.route_.attempts_ };
     if (!MayRetry(facts, retries_)) {
       retries_ = aAnswer.outcome_ == Outcome::Answered ? retries_.AfterSuccess() : retries_;
       Finish(aCall, aAnswer);
       return;
     }
-    retries_ = retries_.AfterRetry();
+    retries_ = reached ? retries_.AfterRetry() : retries_;
     context_.Measures().Count("retries");
     StartAttempt(aCall);
   }
@@ -329,8 +356,10 @@
     }
     context_.Measures().Record("call_ms", took);
     context_.Write(
-      LogEvent("call_end")
+      LogEvent("call_end",
+               aAnswer.outcome_ == Outcome::Answered ? Severity::Routine : Severity::Warning)
         .With("call", ToString(aCall.id_))
+        .With("request", aCall.requestId_)
         .With("team", aTeam)
         .With("owner", aOwner)
         .With("outcome", ToString(aAnswer.outcome_))
@@ -364,6 +393,7 @@
   TeamLimits<Env>& limits_;
   const CallTokens& tokens_;
   InstanceHints hints_;
+  DestinationChoice destinations_;
   RetryBudget retries_;
   Calls calls_;
   std::map<std::string, std::set<CallId>> waiting_;
--- a/include/geraniumpin/process/environment.hpp
+++ b/include/geraniumpin/process/environment.hpp
@@ -7,6 +7,7 @@
 #include "geraniumpin/process/log_event.hpp"
 #include "geraniumpin/process/metrics.hpp"
 #include "geraniumpin/process/random.hpp"
+#include "geraniumpin/version/published.hpp"
 #include "geraniumpin/version/version_store.hpp"
 
 namespace geraniumpin {
@@ -19,7 +20,8 @@
          BackendPort BackendType,
          CallerPort CallerType,
          ConfigSource SourceType,
-         PartCodec CodecType>
+         PartCodec CodecType,
+         ItemDecoder DecoderType>
 struct NodeEnvironment
 {
   ClockType& clock_;
@@ -30,6 +32,7 @@
   CallerType& callers_;
   SourceType& source_;
   const CodecType& codec_;
+  const DecoderType& decoder_;
 };
 
 /// \brief Holds for every NodeEnvironment.
--- a/include/geraniumpin/process/fair_queue.hpp
+++ b/include/geraniumpin/process/fair_queue.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/process/clock.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <list>
 #include <map>
@@ -20,6 +21,7 @@
   std::string team_;
   Duration cost_{}; ///< expected time at the backend server
   TimePoint deadline_;
+  std::uint32_t rank_ = 0; ///< order among waiting requests, the lowest first
 };
 
 /// \brief A queue per team, served by deficit round robin over the expected cost.
--- a/include/geraniumpin/process/gossip_service.hpp
+++ b/include/geraniumpin/process/gossip_service.hpp
@@ -74,6 +74,14 @@
     }
   }
 
+  /// \brief Takes in that the platform answered.
+  void OnPlatformRead()
+  {
+    if (!confirmed_) {
+      CheckConfirmation();
+    }
+  }
+
   /// \brief Tells some members at once that this node leaves.
   void AnnounceLeaving()
   {
@@ -210,9 +218,6 @@
         context_.Send(peers[i], MakeHeartbeat(true));
       }
     }
-    if (context_.Now() - startedAt_ >= kJoinWait) {
-      reader_.WantVmList();
-    }
   }
 
   void CheckConfirmation()
@@ -226,11 +231,14 @@
     const bool enough = answered_.size() >= std::max<std::size_t>(1, wanted);
     const bool oneAfterWait = waited && !answered_.empty();
     const bool alone = waited && IsListedAlone();
-    if (enough || oneAfterWait || alone) {
+    const bool platformVouches =
+      reader_.HasRead() && context_.NodeSettings().IsPlatformLinearizable();
+    if (enough || oneAfterWait || alone || platformVouches) {
       confirmed_ = true;
       context_.Write(LogEvent("node_confirmed")
                        .With("version", current)
                        .With("answers", answered_.size())
+                       .With("platform_vouches", platformVouches)
                        .With("alone", alone));
     }
   }
--- a/include/geraniumpin/process/instance_hints.hpp
+++ b/include/geraniumpin/process/instance_hints.hpp
@@ -30,7 +30,7 @@
   /// Leaves out instances in failure domains out of service, leaving or suspected nodes, nodes that
   /// lately refused new work, and those already tried. If only avoided ones remain, they count.
   [[nodiscard]] std::vector<Candidate> Candidates(const Snapshot& aSnapshot,
-                                                  const Service& aService,
+                                                  const std::string& aService,
                                                   const Membership& aMembers,
                                                   const std::string& aFailureDomain,
                                                   const std::set<NodeAddress>& aTried,
--- a/include/geraniumpin/process/log_event.hpp
+++ b/include/geraniumpin/process/log_event.hpp
@@ -9,7 +9,8 @@
 /// \brief How urgently an operator should look at an event.
 enum class Severity
 {
-  Info,
+  Routine, ///< about work that goes as it should
+  Info,    ///< the node begins, stops or believes something else
   Warning,
   Error
 };
--- a/include/geraniumpin/process/membership.hpp
+++ b/include/geraniumpin/process/membership.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "geraniumpin/connection/config_watch.hpp"
 #include "geraniumpin/connection/message.hpp"
 #include "geraniumpin/process/random.hpp"
+#include "geraniumpin/version/vm_list.hpp"
 
 #include <map>
 #include <optional>
@@ -23,6 +23,9 @@
   static constexpr std::chrono::milliseconds kProbeTimeout{ 600 };
   static constexpr std::uint32_t kProbesBeforeSuspicion = 2;
   static constexpr std::size_t kEventsPerMessage = 8;
+  /// Time without a node in the configuration after which it has ended, if there is no list of VMs:
+  /// platforms give a VM up, and its process, well before.
+  static constexpr std::chrono::seconds kAbsenceOfGone{ 60 };
   static constexpr std::uint32_t kTransmissionsPerEvent = 24; ///< about 2 log2 of 4,096 nodes
 
   Membership(NodeAddress aSelf, std::string aFailureDomain, std::uint64_t aIncarnation);
@@ -36,6 +39,9 @@
   /// \brief Takes in the platform's list; lower revisions than one seen are ignored.
   void OnVmList(const VmList& aList);
 
+  /// \brief Takes in the nodes of a new configuration.
+  void OnListed(const std::vector<NodeAddress>& aNodes, TimePoint aNow);
+
   /// \brief Announces that this node leaves.
   void BeginLeaving();
 
@@ -58,8 +64,9 @@
   /// \brief Says whether nothing speaks against sending new work to the node.
   [[nodiscard]] bool TakesWork(const NodeAddress& aNode) const;
 
-  /// \brief Says whether the platform's list, read after its start, no longer has the VM.
-  [[nodiscard]] bool IsGone(const NodeAddress& aNode) const;
+  /// \brief Says whether the VM has ended: the platform's list no longer has it, or, if the
+  /// platform keeps none, the configuration has been without it for kAbsenceOfGone.
+  [[nodiscard]] bool IsGone(const NodeAddress& aNode, TimePoint aNow) const;
 
   [[nodiscard]] bool IsLeaving() const noexcept { return leaving_; }
   [[nodiscard]] const VmList& Listed() const noexcept { return list_; }
@@ -101,6 +108,8 @@
   TimePoint nextProbe_;
   std::map<NodeAddress, Gossip> gossip_;
   VmList list_;
+  std::set<NodeAddress> listed_;
+  std::map<NodeAddress, TimePoint> absentSince_;
 };
 
 template<Random R>
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -72,31 +72,19 @@
     DeliverLocal();
   }
 
-  void OnHeadRead(const HeadRead& aRead)
+  /// \brief Takes in an answer of the platform.
+  void OnItemsRead(const ItemsRead& aRead)
   {
-    reader_.OnHeadRead(aRead);
-    DeliverLocal();
-  }
-
-  void OnContentRead(const ContentRead& aRead)
-  {
-    reader_.OnContentRead(aRead);
-    DeliverLocal();
-  }
-
-  void OnVmListRead(const VmListRead& aRead)
-  {
-    reader_.OnVmListRead(aRead);
+    reader_.OnItemsRead(aRead);
+    gossip_.OnPlatformRead();
     DeliverLocal();
   }
 
   /// \brief Does what has become due.
   void OnTimer()
   {
-    if (limits_.ClaimIsStuck()) {
-      reader_.WantVmList();
-    }
     gossip_.OnTimer();
+    config_.OnTimer();
     reader_.OnTimer();
     limits_.OnTimer();
     entry_.OnTimer();
@@ -108,8 +96,10 @@
   [[nodiscard]] TimePoint NextDeadline() const
   {
     auto next = std::min(gossip_.NextDeadline(), reader_.NextDeadline());
-    for (const auto& time :
-         { limits_.NextDeadline(), entry_.NextDeadline(), owner_.NextDeadline() }) {
+    for (const auto& time : { config_.NextDeadline(),
+                              limits_.NextDeadline(),
+                              entry_.NextDeadline(),
+                              owner_.NextDeadline() }) {
       next = time ? std::min(next, *time) : next;
     }
     return next;
@@ -131,13 +121,18 @@
     return entry_.InFlight() == 0 && owner_.InFlight() == 0;
   }
 
+  /// \brief Says whether the node serves requests: it knows a configuration and does not leave.
+  [[nodiscard]] bool IsReady() const { return StateOf() == NodeState::Serving; }
+
   [[nodiscard]] NodeStatus Status() const
   {
     const auto id = context_.Versions().CurrentId();
+    const auto& snapshot = context_.Versions().Current();
     return { .node_ = context_.Self(),
              .failureDomain_ = context_.NodeSettings().FailureDomainName(),
              .incarnation_ = context_.Incarnation(),
-             .version_ = id,
+             .version_ = { snapshot ? snapshot->DocumentNumber() : 0, id.digest_ },
+             .revision_ = id.number_,
              .state_ = StateOf(),
              .watcher_ = reader_.IsWatcher(),
              .homeTeams_ = limits_.HomeTeams(),
@@ -151,22 +146,24 @@
   [[nodiscard]] const Metrics& Measures() const noexcept { return context_.Measures(); }
 
   /// \brief Says how a request would be routed, without sending it.
-  [[nodiscard]] tl::expected<Explanation, Reason> Explain(const std::string& aMethod,
+  [[nodiscard]] tl::expected<Explanation, Reason> Explain(const std::string& aHost,
+                                                          const std::string& aMethod,
                                                           const std::string& aPath,
                                                           const std::optional<Digest>& aKeyDigest)
   {
-    const auto decision =
-      DecideRoute(context_.Versions().Current(), aMethod, aPath, aKeyDigest, gossip_.Trust());
+    const auto decision = DecideRoute(
+      context_.Versions().Current(), aHost, aMethod, aPath, aKeyDigest, gossip_.Trust());
     if (!decision) {
       return tl::make_unexpected(decision.error());
     }
+    const auto& service = decision->route_.destinations_.front().service_;
     const auto candidates = entry_.Hints().Candidates(*decision->snapshot_,
-                                                      decision->service_,
+                                                      service,
                                                       context_.Members(),
                                                       context_.NodeSettings().FailureDomainName(),
                                                       {},
                                                       context_.Now());
-    const auto narrowed = entry_.Hints().Narrow(decision->service_.name_, candidates);
+    const auto narrowed = entry_.Hints().Narrow(service, candidates);
     std::vector<ExplainedCandidate> explained;
     explained.reserve(narrowed.size());
     for (const auto& candidate : narrowed) {
@@ -177,7 +174,7 @@
     return Explanation{ .version_ = decision->snapshot_->Id().number_,
                         .route_ = decision->route_.name_,
                         .team_ = decision->team_,
-                        .service_ = decision->service_.name_,
+                        .service_ = service,
                         .candidates_ = explained,
                         .chosen_ = chosen == nullptr ? "" : chosen->name_ };
   }
@@ -224,6 +221,7 @@
 
   void OnSnapshot(const Snapshot& aSnapshot)
   {
+    context_.Members().OnListed(aSnapshot.AllNodes(), context_.Now());
     owner_.OnSnapshot(aSnapshot);
     limits_.OnSnapshot(aSnapshot);
   }
--- a/include/geraniumpin/process/node_status.hpp
+++ b/include/geraniumpin/process/node_status.hpp
@@ -30,7 +30,8 @@
   const NodeAddress node_;
   const std::string failureDomain_;
   const std::uint64_t incarnation_ = 0;
-  const VersionId version_;
+  const VersionId version_; ///< number of the operators' document, digest of the whole snapshot
+  const std::uint64_t revision_ = 0; ///< of the platform at which the snapshot was read
   const NodeState state_ = NodeState::Starting;
   const bool watcher_ = false;
   const std::size_t homeTeams_ = 0;
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -5,6 +5,7 @@
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,7 +24,9 @@
 {
 public:
   /// Time for which the id of a finished attempt is remembered.
-  static constexpr std::chrono::seconds kAttemptMemory{ 60 };
+  static constexpr std::chrono::seconds kAttemptMemory{ 15 };
+  /// Time for which an instance without a stated cold time counts as cold after a start.
+  static constexpr std::chrono::milliseconds kDefaultColdTime{ 3000 };
 
   OwnerService(NodeContext<Env>& aContext, CallTokens& aTokens)
     : context_(aContext)
@@ -37,16 +40,41 @@
   {
     const auto placement = aSnapshot.FindPlacement(context_.Self());
     if (!placement) {
+      if (!service_.empty()) {
+        context_.Write(LogEvent("instance_gone").With("instance", instance_));
+      }
       service_.clear();
+      instance_.clear();
+      takesWork_ = false;
       return;
     }
-    service_ = placement->service_.name_;
-    admission_.SetSlots(placement->service_.slots_);
-    const bool wasInService = inService_;
-    inService_ = aSnapshot.FindFailureDomain(placement->backendServer_.failureDomain_)->inService_;
-    if (inService_ && !wasInService) {
-      admission_.RestartProbing(placement->service_.slots_);
+    const auto& service = placement->service_;
+    const auto& server = placement->backendServer_;
+    const bool isOther = instance_ != server.name_ || startedAt_ != server.startedAt_;
+    const bool wasInService =
+      std::exchange(inService_, aSnapshot.FindFailureDomain(server.failureDomain_)->inService_);
+    service_ = service.name_;
+    instance_ = server.name_;
+    startedAt_ = server.startedAt_;
+    takesWork_ = server.state_ == InstanceState::Ready;
+    coldTime_ = service.coldTime_ > Duration{} ? Duration(service.coldTime_) : kDefaultColdTime;
+    const auto slots = server.slots_ > 0 ? server.slots_ : service.slots_;
+    auto& gate = admission_.Gate();
+    gate.SetRate(service.coldRatePerSecond_);
+    if (isOther) {
+      admission_.Restart(InstanceController::For(server.slots_ > 0), slots);
+      if (!server.cold_) {
+        gate.Open(); // the platform says that this start is over
+      }
     }
+    admission_.SetSlots(slots);
+    gate.SetReported(server.cold_);
+    if (inService_ && !wasInService && hasBeenOut_) {
+      admission_.Restart(InstanceController::For(server.slots_ > 0), slots);
+      gate.CloseUntil(context_.Now() + coldTime_);
+    }
+    hasBeenOut_ = hasBeenOut_ || !inService_;
+    WriteInstance(server, slots, isOther);
   }
 
   /// \brief Takes in an attempt; a repeated message of one is dropped.
@@ -92,6 +120,7 @@
     }
     const auto startedAt = found->second.startedAt_;
     context_.Measures().Record("backend_ms", context_.Now() - startedAt);
+    NoteAvailability(aEnd.result_);
     auto actions = admission_.OnEnd(ResultOf(aEnd.result_), startedAt, context_.Now());
     End(aEnd.id_, AnswerOf(aEnd));
     Act(actions);
@@ -112,7 +141,7 @@
 
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const
   {
-    auto next = admission_.NextDeadline();
+    auto next = admission_.NextDeadline(context_.Now());
     if (!running_.empty()) {
       const auto first = running_.begin()->first;
       next = next ? std::min(*next, first) : first;
@@ -122,7 +151,7 @@
 
   [[nodiscard]] std::size_t InFlight() const noexcept { return attempts_.size(); }
   [[nodiscard]] double Limit() const noexcept { return admission_.Limit(); }
-  [[nodiscard]] std::size_t Queued() const noexcept { return admission_.Queued(); }
+  [[nodiscard]] std::size_t Queued() const { return admission_.Queued(); }
 
 private:
   [[nodiscard]] std::optional<Reason> Check(const Envelope& aEnvelope,
@@ -146,6 +175,9 @@
     if (!inService_) {
       return Reason::OutOfService;
     }
+    if (!service_.empty() && !takesWork_) {
+      return Reason::Draining;
+    }
     return CheckAgainst(*snapshot, aEnvelope, aRequest);
   }
 
@@ -155,8 +187,10 @@
                                                    const CallRequest& aRequest) const
   {
     const bool behind = aSnapshot.Id().number_ < aEnvelope.announced_.number_;
-    const auto* route = aSnapshot.FindRoute(aRequest.method_, aRequest.path_);
-    if (route == nullptr || route->service_ != service_) {
+    const auto* route =
+      aSnapshot.FindRoute(NormalHost(aRequest.host_), aRequest.method_, aRequest.path_);
+    if (route == nullptr || service_.empty() || !LeadsTo(*route, service_) ||
+        aRequest.service_ != service_) {
       return behind ? Reason::VersionBehind : Reason::WrongNode;
     }
     if (route->access_ == Access::Open) {
@@ -169,16 +203,54 @@
     return std::nullopt;
   }
 
+  [[nodiscard]] static bool LeadsTo(const Route& aRoute, const std::string& aService)
+  {
+    return std::any_of(aRoute.destinations_.begin(),
+                       aRoute.destinations_.end(),
+                       [&](const Destination& aItem) { return aItem.service_ == aService; });
+  }
+
+  /// An instance that could not be reached has ended, and comes back cold.
+  void NoteAvailability(BackendResult aResult)
+  {
+    if (aResult == BackendResult::ConnectFailed) {
+      unreachable_ = true;
+    } else if (aResult == BackendResult::Answered && std::exchange(unreachable_, false)) {
+      admission_.Gate().CloseUntil(context_.Now() + coldTime_);
+      context_.Write(LogEvent("instance_regained").With("instance", instance_));
+    }
+    if (unreachable_) {
+      admission_.Gate().CloseUntil(context_.Now() + coldTime_);
+    }
+  }
+
+  void WriteInstance(const BackendServer& aServer, std::uint32_t aSlots, bool aIsOther)
+  {
+    LogEvent event("instance");
+    event.With("instance", aServer.name_)
+      .With("service", service_)
+      .With("other", aIsOther)
+      .With("draining", aServer.state_ == InstanceState::Draining)
+      .With("cold", aServer.cold_)
+      .With("in_service", inService_)
+      .With("slots", aSlots);
+    if (event.Line() != lastInstanceLine_) {
+      lastInstanceLine_ = event.Line();
+      context_.Write(event);
+    }
+  }
+
   void Offer(const AttemptId& aId, const NodeAddress& aEntry, const CallRequest& aRequest)
   {
     const auto now = context_.Now();
     const QueuedWork<AttemptId> work{
-      aId, aRequest.team_, ExpectedCost(aRequest.route_), now + aRequest.remaining_
+      aId, aRequest.team_, ExpectedCost(aRequest.route_), now + aRequest.remaining_, aRequest.rank_
     };
     const auto admitted = admission_.Offer(work, now);
     WriteAdmission(aId, aRequest, admitted);
     if (!admitted) {
-      Reply(aEntry, aId, Answer::Refused(Outcome::NotRun, admitted.error()));
+      const auto retryAfter = admission_.RetryAfter(aRequest.rank_, now);
+      Reply(aEntry, aId, Answer::Refused(Outcome::NotRun, admitted.error(), retryAfter));
       return;
     }
     attempts_.emplace(aId, OwnedAttempt{ aEntry, aRequest, work.deadline_ });
@@ -197,7 +269,11 @@
     const TokenHolder holder{ request.team_, request.keyDigest_, attempt.deadline_ };
     auto token = tokens_.Issue(aId, holder, context_.Outside().random_);
     context_.Outside().backend_.Start({ .id_ = aId,
+                                        .requestId_ = request.requestId_,
+                                        .instance_ = instance_,
+                                        .team_ = request.team_,
                                         .method_ = request.method_,
+                                        .host_ = request.host_,
                                         .path_ = request.path_,
                                         .headers_ = request.headers_,
                                         .body_ = request.body_,
@@ -244,7 +320,7 @@
   void Reply(const NodeAddress& aEntry, const AttemptId& aId, const Answer& aAnswer)
   {
     Remember(aId);
-    const bool takesWork = inService_ && !context_.Members().IsLeaving();
+    const bool takesWork = inService_ && takesWork_ && !context_.Members().IsLeaving();
     context_.Send(aEntry,
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
@@ -266,8 +342,9 @@
     const auto decision = !aAdmitted                      ? ToString(aAdmitted.error())
                           : *aAdmitted == Admitted::Start ? "start"
                                                           : "queued";
-    context_.Write(LogEvent("admission")
+    context_.Write(LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
                      .With("call", ToString(aId.call_))
+                     .With("request", aRequest.requestId_)
                      .With("attempt", aId.attempt_)
                      .With("team", aRequest.team_)
                      .With("decision", decision)
@@ -298,6 +375,8 @@
                  .body_ = aEnd.body_ };
       case BackendResult::Shed:
         return Answer::Refused(Outcome::NotRun, Reason::Shed);
+      case BackendResult::OtherInstance:
+        return Answer::Refused(Outcome::NotRun, Reason::WrongNode);
       case BackendResult::ConnectFailed:
         return Answer::Refused(Outcome::NotRun, Reason::ConnectFailed);
       case BackendResult::Broken:
@@ -308,9 +387,16 @@
 
   NodeContext<Env>& context_;
   CallTokens& tokens_;
-  Admission<AttemptId> admission_;
+  Admission<AttemptId, InstanceController> admission_;
   std::string service_;
-  bool inService_ = false;
+  std::string instance_;
+  std::uint64_t startedAt_ = 0;
+  bool takesWork_ = false;   ///< the instance is not draining
+  bool inService_ = false;   ///< its failure domain is in service
+  bool hasBeenOut_ = false;  ///< this process saw its failure domain out of service
+  bool unreachable_ = false; ///< the last connection to the instance failed
+  Duration coldTime_ = kDefaultColdTime;
+  std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
   std::set<std::pair<TimePoint, AttemptId>> running_;
   std::set<AttemptId> finished_;
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -6,160 +6,312 @@
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/placement_hash.hpp"
 #include "geraniumpin/process/watch_duty.hpp"
-#include "geraniumpin/version/version_assembly.hpp"
+#include "geraniumpin/version/document_assembly.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace geraniumpin {
 
-/// \brief The platform's answer to a read of the head; nothing in it if the read failed.
-struct HeadRead
-{
-  const std::optional<std::string> text_;
-  const std::uint64_t revision_ = 0;
-};
-
-/// \brief The platform's answer to a read of a part or index shard.
-struct ContentRead
-{
-  const Digest digest_;
-  const std::optional<std::string> bytes_;
-};
-
-/// \brief The platform's answer to a read of the list of VMs.
-struct VmListRead
-{
-  const std::optional<VmList> list_;
-};
-
 /// \brief Reads the platform while this node has the duty, and hands complete versions on.
+///
+/// The first read lists all items page by page; then a watch brings the changes. A version is named
+/// by the revision of the platform at which its items were read.
 template<Environment Env>
 class PlatformReader
 {
 public:
-  /// Time that a starting node gives its peers before it reads the platform.
+  /// Time that a starting node with seeds gives its peers before it reads the platform.
   static constexpr std::chrono::milliseconds kPeersFirst{ 600 };
-  static constexpr std::chrono::milliseconds kStartJitter{ 400 };
-  static constexpr std::chrono::milliseconds kFirstBackoff{ 500 };
-  static constexpr std::chrono::milliseconds kMostBackoff{ 60000 };
-  /// Least time between two reads.
-  static constexpr std::chrono::milliseconds kLeastGap{ 100 };
+  /// Spreads the first reads of nodes that start together.
+  static constexpr std::chrono::milliseconds kStartJitter{ 300 };
+  static constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
+  /// Longest pause after failures of a node with the duty; with a read's timeout it stays below the
+  /// bound for applying a version once the platform is back.
+  static constexpr std::chrono::milliseconds kMostBackoff{ 1000 };
+  /// Longest pause after failures of a node that only stands in, so that an outage does not turn
+  /// the whole fleet into readers.
+  static constexpr std::chrono::milliseconds kMostStandInBackoff{ 60000 };
+  /// Least time between two reads; changes that come together cost one read.
+  static constexpr std::chrono::milliseconds kLeastGap{ 50 };
   /// Time after which a node without duty looks again whether it has one.
-  static constexpr std::chrono::milliseconds kDutyCheck{ 1000 };
+  static constexpr std::chrono::milliseconds kDutyCheck{ 200 };
+  /// Time for which one watch waits; short enough to notice a silent connection.
+  static constexpr std::chrono::milliseconds kWatchWait{ 3000 };
+  /// Longest time that an answer may take beyond that.
+  static constexpr std::chrono::milliseconds kReadTimeout{ 700 };
+  /// Time without an answer after which published instances may have lapsed although they live.
+  static constexpr std::chrono::milliseconds kLapseOutage{ 3000 };
+  /// Time that lapsed instances get to come back.
+  static constexpr std::chrono::milliseconds kLapseGrace{ 2000 };
 
   PlatformReader(NodeContext<Env>& aContext, ConfigService<Env>& aConfig)
     : context_(aContext)
     , config_(aConfig)
     , freshness_(aContext.Now())
-    , headBackoff_(kFirstBackoff, kMostBackoff)
-    , listBackoff_(kFirstBackoff, kMostBackoff)
+    , answeredAt_(aContext.Now())
+    , backoff_(kFirstBackoff, kMostBackoff)
+    , standInBackoff_(kFirstBackoff, kMostStandInBackoff)
   {
     const auto jitter = DrawFraction(context_.Outside().random_) * kStartJitter;
-    nextHead_ = context_.Now() + kPeersFirst + std::chrono::duration_cast<Duration>(jitter);
-    nextList_ = nextHead_;
+    const auto peersFirst =
+      context_.NodeSettings().Seeds().empty() ? Duration{} : Duration(kPeersFirst);
+    nextRead_ = context_.Now() + peersFirst + std::chrono::duration_cast<Duration>(jitter);
+  }
+
+  void OnItemsRead(const ItemsRead& aRead)
+  {
+    if (!readEndsAt_) {
+      return; // an answer to a read that was given up
+    }
+    readEndsAt_.reset();
+    switch (aRead.result_) {
+      case ReadResult::Failed:
+        Fail(aRead.detail_);
+        return;
+      case ReadResult::HistoryGone:
+        context_.Measures().Count("platform_history_gone");
+        BeginListing();
+        nextRead_ = context_.Now();
+        return;
+      case ReadResult::Complete:
+        Succeed(aRead);
+        return;
+    }
   }
 
-  /// \brief Reads the list of VMs soon, whether or not this node has the duty.
-  void WantVmList() { wantsList_ = true; }
+  /// \brief Takes in the age of the platform's news that a peer knows of.
+  void OnReportedAge(Duration aAge) { freshness_ = freshness_.AfterReport(aAge, context_.Now()); }
 
-  void OnHeadRead(const HeadRead& aRead)
+  void OnTimer()
   {
-    headInFlight_ = false;
-    if (!aRead.text_) {
-      Fail(headBackoff_, nextHead_, "head");
-      return;
+    const auto now = context_.Now();
+    if (readEndsAt_ && now >= *readEndsAt_) {
+      context_.Outside().source_.CancelRead();
+      readEndsAt_.reset();
+      Fail("no answer in time");
     }
-    headBackoff_ = headBackoff_.AfterSuccess();
-    nextHead_ = context_.Now() + kLeastGap;
-    freshness_ = freshness_.AfterContact(context_.Now());
-    revision_ = std::max(revision_, aRead.revision_);
-    const auto head = ParseHead(*aRead.text_);
-    if (!head) {
-      context_.Measures().Count("platform_malformed_heads");
-      return;
+    if (!lapsed_.empty() && now >= lapseEndsAt_) {
+      for (const auto& key : std::exchange(lapsed_, {})) {
+        assembly_.Erase(key);
+      }
+      Publish();
+    }
+    if (!readEndsAt_ && now >= nextRead_) {
+      nextRead_ = now + kDutyCheck;
+      if (HasDuty(now)) {
+        Read(now);
+      }
     }
-    BeginAssembly(*head, { head->number_, Digest::Of(*aRead.text_) });
   }
 
-  void OnContentRead(const ContentRead& aRead)
+  [[nodiscard]] TimePoint NextDeadline() const noexcept
   {
-    contentsInFlight_ -= contentsInFlight_ > 0 ? 1 : 0;
-    if (!assembly_) {
-      return;
+    const auto next = readEndsAt_ ? *readEndsAt_ : nextRead_;
+    return lapsed_.empty() ? next : std::min(next, lapseEndsAt_);
+  }
+  [[nodiscard]] Duration PlatformAge() const { return freshness_.Age(context_.Now()); }
+  [[nodiscard]] bool IsWatcher() const { return HasDuty(context_.Now()); }
+  /// \brief Says whether this process has read a whole configuration from the platform.
+  [[nodiscard]] bool HasRead() const noexcept { return hasRead_; }
+
+private:
+  void Read(TimePoint aNow)
+  {
+    context_.Measures().Count("platform_reads");
+    if (listing_) {
+      readEndsAt_ = aNow + kReadTimeout;
+      context_.Outside().source_.ReadItems(listing_->afterKey_);
+    } else {
+      readEndsAt_ = aNow + kWatchWait + kReadTimeout;
+      context_.Outside().source_.WatchItems(revision_, kWatchWait);
     }
-    if (!aRead.bytes_ || !assembly_->Add(aRead.digest_, *aRead.bytes_, context_.Versions())) {
-      assembly_.reset();
-      revision_ = 0; // the next read must not wait for a newer revision than this one
-      Fail(headBackoff_, nextHead_, "content");
-      return;
+  }
+
+  void BeginListing() { listing_ = Listing{}; }
+
+  void Succeed(const ItemsRead& aRead)
+  {
+    const auto now = context_.Now();
+    if (failing_) {
+      failing_ = false;
+      context_.Write(LogEvent("platform_regained")
+                       .With("revision", aRead.revision_)
+                       .With("silent_ms", Milliseconds(now - answeredAt_)));
+    }
+    const bool mayHaveLapsed = now - answeredAt_ >= kLapseOutage;
+    if (mayHaveLapsed) {
+      lapseEndsAt_ = now + kLapseGrace;
     }
-    if (contentsInFlight_ == 0) {
-      Continue();
+    answeredAt_ = now;
+    freshness_ = freshness_.AfterContact(now);
+    backoff_ = backoff_.AfterSuccess();
+    standInBackoff_ = standInBackoff_.AfterSuccess();
+    nextRead_ = now + kLeastGap;
+    if (listing_) {
+      TakePage(aRead);
+    } else {
+      TakeChanges(aRead);
     }
   }
 
-  void OnVmListRead(const VmListRead& aRead)
+  void TakePage(const ItemsRead& aRead)
   {
-    listInFlight_ = false;
-    if (!aRead.list_) {
-      Fail(listBackoff_, nextList_, "vms");
+    auto& listing = *listing_;
+    if (!listing.revision_) {
+      listing.revision_ = aRead.revision_;
+    }
+    for (const auto& item : aRead.items_) {
+      listing.keys_.insert(item.key_);
+      Take(item);
+    }
+    if (aRead.hasMore_ && !aRead.items_.empty()) {
+      listing.afterKey_ = aRead.items_.back().key_;
+      nextRead_ = context_.Now();
       return;
     }
-    wantsList_ = false;
-    listBackoff_ = listBackoff_.AfterSuccess();
-    nextList_ = context_.Now() + kLeastGap;
-    freshness_ = freshness_.AfterContact(context_.Now());
-    context_.Members().OnVmList(*aRead.list_);
+    for (const auto& key : assembly_.Keys()) {
+      if (!listing.keys_.contains(key)) {
+        Remove(key);
+      }
+    }
+    // Later pages may show later changes; the watch repeats everything after the first page.
+    revision_ = *listing.revision_;
+    listing_.reset();
+    Publish();
   }
 
-  /// \brief Takes in the age of the platform's news that a peer knows of.
-  void OnReportedAge(Duration aAge) { freshness_ = freshness_.AfterReport(aAge, context_.Now()); }
+  void TakeChanges(const ItemsRead& aRead)
+  {
+    if (aRead.revision_ < revision_) {
+      context_.Write(LogEvent("platform_revision_ignored", Severity::Warning)
+                       .With("revision", aRead.revision_)
+                       .With("known", revision_));
+      return;
+    }
+    revision_ = aRead.revision_;
+    for (const auto& item : aRead.items_) {
+      Take(item);
+    }
+    if (!aRead.items_.empty()) {
+      Publish();
+    }
+  }
 
-  void OnTimer()
+  void Take(const PublishedItem& aItem)
   {
-    const auto now = context_.Now();
-    if (now >= nextHead_) {
-      nextHead_ = now + kDutyCheck;
-      ReadHead(now);
+    if (!aItem.value_) {
+      Remove(aItem.key_);
+      return;
+    }
+    lapsed_.erase(aItem.key_);
+    auto decoded = context_.Outside().decoder_.Decode(aItem.key_, *aItem.value_);
+    if (!decoded) {
+      OnMalformed(aItem.key_, decoded.error());
+      return;
     }
-    if (now >= nextList_) {
-      nextList_ = now + kDutyCheck;
-      ReadVmList(now);
+    if (!*decoded) {
+      return;
+    }
+    if (const auto* list = std::get_if<VmList>(&**decoded)) {
+      context_.Members().OnVmList({ .revision_ = ++listRevision_, .vms_ = list->vms_ });
     }
+    assembly_.Put(aItem.key_, std::move(**decoded));
   }
 
-  [[nodiscard]] TimePoint NextDeadline() const noexcept { return std::min(nextHead_, nextList_); }
-  [[nodiscard]] Duration PlatformAge() const { return freshness_.Age(context_.Now()); }
-  [[nodiscard]] bool IsWatcher() const { return HasDuty(context_.Now()); }
+  /// A malformed instance is no instance; a malformed document leaves the running version in force,
+  /// which may be a newer one than this node has read, until a good one comes.
+  void OnMalformed(const std::string& aKey, const Faults& aFaults)
+  {
+    context_.Measures().Count("platform_malformed_items");
+    LogEvent event("platform_item_refused", Severity::Warning);
+    event.With("key", aKey);
+    if (!aFaults.empty()) {
+      event.With("fault", ToString(aFaults.front()));
+    }
+    context_.Write(event);
+    assembly_.Erase(aKey);
+  }
 
-private:
-  void ReadHead(TimePoint aNow)
+  /// Instances that vanished while the platform was away get time to come back.
+  void Remove(const std::string& aKey)
   {
-    if (headInFlight_ || assembly_ || !HasDuty(aNow)) {
+    const auto* known = assembly_.Find(aKey);
+    const bool isInstance = known != nullptr && std::holds_alternative<PublishedInstance>(*known);
+    if (isInstance && context_.Now() < lapseEndsAt_) {
+      lapsed_.insert(aKey);
       return;
     }
-    headInFlight_ = true;
-    context_.Measures().Count("platform_reads");
-    context_.Outside().source_.FetchHead(revision_);
+    assembly_.Erase(aKey);
   }
 
-  void ReadVmList(TimePoint aNow)
+  void Publish()
   {
-    if (listInFlight_ || !(wantsList_ || HasDuty(aNow))) {
+    if (!assembly_.HasDocument() || revision_ == 0) {
       return;
     }
-    listInFlight_ = true;
-    context_.Measures().Count("platform_reads");
-    context_.Outside().source_.FetchVmList(wantsList_ ? 0 : context_.Members().Listed().revision_);
+    hasRead_ = true;
+    auto parts = EncodeParts();
+    // While instances may come back the items are not exactly those of the revision.
+    const auto number = lapsed_.empty() ? revision_ : revision_ - 1;
+    const auto manifest = impl::ManifestOf(number, parts, {}, {});
+    const auto& running = context_.Versions().Current();
+    if (running && running->Parts().parts_ == manifest.parts_) {
+      return;
+    }
+    config_.OnPlatformVersion(
+      { .from_ = {}, .to_ = IdOf(manifest), .changed_ = std::move(parts), .removed_ = {} });
+  }
+
+  std::map<std::string, SharedBytes> EncodeParts()
+  {
+    const auto encode = [&](const PartValue& aPart) {
+      return std::make_shared<const std::string>(context_.Outside().codec_.Encode(aPart));
+    };
+    const auto& item = assembly_.Document();
+    if (item != encodedDocument_) {
+      const auto& document = std::get<PublishedDocument>(*item);
+      documentParts_.clear();
+      documentParts_[std::string(part_name::kRoutes)] = encode(document.routes_);
+      documentParts_[std::string(part_name::kTeams)] = encode(document.teams_);
+      for (const auto& [name, keys] : SplitKeys(document.keys_)) {
+        documentParts_[name] = encode(KeysPart{ keys });
+      }
+      encodedDocument_ = item;
+    }
+    auto parts = documentParts_;
+    parts[std::string(part_name::kFailureDomains)] = encode(assembly_.FailureDomains());
+    for (const auto& service : assembly_.Services()) {
+      parts[std::string(part_name::kServicePrefix) + service.name_] = encode(service);
+    }
+    return parts;
+  }
+
+  [[nodiscard]] static std::map<std::string, std::vector<Key>> SplitKeys(const KeysPart& aKeys)
+  {
+    std::map<std::string, std::vector<Key>> split;
+    for (const auto& key : aKeys.keys_) {
+      split[std::string(part_name::kKeysPrefix) + key.digest_.Hex().front()].push_back(key);
+    }
+    return split;
   }
 
   [[nodiscard]] bool HasDuty(TimePoint aNow) const
+  {
+    return HasWatchDuty({ .rank_ = Rank(), .platformAge_ = freshness_.Age(aNow) });
+  }
+
+  /// The place of this node among the readers of its failure domain; it is the first while it knows
+  /// of no other.
+  [[nodiscard]] std::size_t Rank() const
   {
     const auto& snapshot = context_.Versions().Current();
     if (!snapshot) {
-      return true;
+      return 0;
     }
     const auto& domain = context_.NodeSettings().FailureDomainName();
     std::vector<NodeAddress> working;
@@ -168,65 +320,54 @@
         working.push_back(node);
       }
     }
-    const auto rank = RankOf("watch/" + domain, context_.Self(), working);
-    return HasWatchDuty({ .rank_ = rank, .platformAge_ = freshness_.Age(aNow) });
+    return RankOf(ReaderSubject(domain), context_.Self(), working);
   }
 
-  void Fail(Backoff& aBackoff, TimePoint& aNext, std::string_view aWhat)
+  void Fail(std::string_view aDetail)
   {
     context_.Measures().Count("platform_read_failures");
-    aNext = context_.Now() + kLeastGap + aBackoff.Draw(context_.Outside().random_);
-    aBackoff = aBackoff.AfterFailure();
-    context_.Write(LogEvent("platform_read_failed", Severity::Warning).With("what", aWhat));
+    auto& backoff = Rank() < kWatchers ? backoff_ : standInBackoff_;
+    nextRead_ = context_.Now() + kLeastGap + backoff.Draw(context_.Outside().random_);
+    backoff = backoff.AfterFailure();
+    if (!std::exchange(failing_, true)) {
+      context_.Write(LogEvent("platform_lost", Severity::Warning)
+                       .With("detail", aDetail)
+                       .With("revision", revision_)
+                       .With("silent_ms", Milliseconds(context_.Now() - answeredAt_)));
+    }
   }
 
-  void BeginAssembly(const Head& aHead, const VersionId& aId)
+  [[nodiscard]] static std::int64_t Milliseconds(Duration aTime) noexcept
   {
-    const auto refusal = context_.Versions().Screen(aId);
-    if (refusal) {
-      const bool isRunning = aId == context_.Versions().CurrentId();
-      if (!isRunning && aId != lastScreened_) {
-        context_.Write(LogEvent("platform_head_ignored", Severity::Warning)
-                         .With("version", aId.number_)
-                         .With("running", context_.Versions().CurrentId().number_)
-                         .With("reason", ToString(*refusal)));
-      }
-      lastScreened_ = aId;
-      return;
-    }
-    assembly_.emplace(aHead, aId, context_.Versions());
-    Continue();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
   }
 
-  void Continue()
+  /// A listing of all items in progress.
+  struct Listing
   {
-    if (const auto delta = assembly_->Complete()) {
-      assembly_.reset();
-      config_.OnPlatformVersion(*delta);
-      return;
-    }
-    const auto missing = assembly_->Missing();
-    contentsInFlight_ = missing.size();
-    context_.Measures().Count("platform_reads", missing.size());
-    for (const auto& digest : missing) {
-      context_.Outside().source_.FetchContent(digest);
-    }
-  }
+    std::string afterKey_;
+    std::optional<std::uint64_t> revision_; ///< of the first page
+    std::set<std::string> keys_;
+  };
 
   NodeContext<Env>& context_;
   ConfigService<Env>& config_;
   Freshness freshness_;
-  Backoff headBackoff_;
-  Backoff listBackoff_;
-  TimePoint nextHead_;
-  TimePoint nextList_;
-  bool headInFlight_ = false;
-  bool listInFlight_ = false;
-  bool wantsList_ = false;
-  std::size_t contentsInFlight_ = 0;
+  TimePoint answeredAt_;
+  Backoff backoff_;
+  Backoff standInBackoff_;
+  TimePoint nextRead_;
+  std::optional<TimePoint> readEndsAt_; ///< set while a read is in flight
+  std::optional<Listing> listing_ = Listing{};
   std::uint64_t revision_ = 0;
-  std::optional<VersionAssembly> assembly_;
-  VersionId lastScreened_;
+  std::uint64_t listRevision_ = 0; ///< lists of VMs taken in
+  bool failing_ = false;
+  bool hasRead_ = false;
+  DocumentAssembly assembly_;
+  std::set<std::string> lapsed_; ///< instances that the platform dropped and that may come back
+  TimePoint lapseEndsAt_;
+  std::shared_ptr<const Published> encodedDocument_;
+  std::map<std::string, SharedBytes> documentParts_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -12,6 +12,13 @@
 
 namespace geraniumpin {
 
+/// \brief The interface that a node speaks towards callers, backend servers and the platform.
+enum class Interface
+{
+  Own,  ///< the project's own
+  Users ///< that of the users' platform, see docs/PLATFORM.md
+};
+
 /// \brief What a node process is told at its start; only SettingsBuilder makes one.
 class Settings
 {
@@ -31,6 +38,19 @@
   /// \brief The backend server on this VM.
   [[nodiscard]] const NodeAddress& BackendServerAddress() const noexcept { return backendServer_; }
   [[nodiscard]] const NodeAddress& PlatformAddress() const noexcept { return platform_; }
+  /// \brief How the platform publishes and what callers and backend servers speak.
+  [[nodiscard]] Interface InterfaceForm() const noexcept { return interface_; }
+  /// \brief Says that the platform never answers with less than it acknowledged before.
+  [[nodiscard]] bool IsPlatformLinearizable() const noexcept { return platformIsLinearizable_; }
+  /// \brief Address that tells whether the node is ready; empty: none.
+  [[nodiscard]] const NodeAddress& ReadyAddress() const noexcept { return ready_; }
+  /// \brief The service of the backend server on this VM; empty: unknown.
+  [[nodiscard]] const std::string& OwnService() const noexcept { return ownService_; }
+  /// \brief All failure domains, for platforms whose document does not list them.
+  [[nodiscard]] const std::vector<std::string>& FailureDomainNames() const noexcept
+  {
+    return failureDomains_;
+  }
   /// \brief Peers to ask first; the platform's list of VMs adds to them.
   [[nodiscard]] const std::vector<NodeAddress>& Seeds() const noexcept { return seeds_; }
   /// \brief Secret shared by all nodes, which authenticates their messages.
@@ -40,6 +60,9 @@
   /// \brief Longest time that a planned stop waits for running requests.
   [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
 
+  /// \brief Says whether the other settings can take effect without a restart.
+  [[nodiscard]] bool DiffersOnlyInReloadable(const Settings& aOther) const;
+
   auto operator<=>(const Settings&) const = default;
 
 private:
@@ -53,6 +76,11 @@
   std::string failureDomain_;
   NodeAddress backendServer_;
   NodeAddress platform_;
+  Interface interface_ = Interface::Own;
+  bool platformIsLinearizable_ = false;
+  NodeAddress ready_;
+  std::string ownService_;
+  std::vector<std::string> failureDomains_;
   std::vector<NodeAddress> seeds_;
   std::string peerKey_;
   std::size_t mostBodyBytes_ = kDefaultMostBodyBytes;
@@ -83,6 +111,11 @@
   SettingsBuilder& FailureDomainName(std::string aName);
   SettingsBuilder& BackendServerAddress(NodeAddress aAddress);
   SettingsBuilder& PlatformAddress(NodeAddress aAddress);
+  SettingsBuilder& InterfaceForm(Interface aInterface);
+  SettingsBuilder& PlatformIsLinearizable(bool aIs);
+  SettingsBuilder& ReadyAddress(NodeAddress aAddress);
+  SettingsBuilder& OwnService(std::string aName);
+  SettingsBuilder& FailureDomainNames(std::vector<std::string> aNames);
   SettingsBuilder& Seeds(std::vector<NodeAddress> aSeeds);
   SettingsBuilder& PeerKey(std::string aKey);
   SettingsBuilder& MostBodyBytes(std::size_t aBytes);
--- a/include/geraniumpin/process/team_limits.hpp
+++ b/include/geraniumpin/process/team_limits.hpp
@@ -106,7 +106,7 @@
     if (aRequest.wanted_ == 0) {
       return;
     }
-    context_.Write(LogEvent("lease_grant")
+    context_.Write(LogEvent("lease_grant", Severity::Routine)
                      .With("team", aRequest.team_)
                      .With("holder", aEnvelope.sender_.Text())
                      .With("wanted", aRequest.wanted_)
@@ -124,7 +124,7 @@
   {
     std::vector<NodeAddress> former;
     for (const auto& node : former_) {
-      if (node != aEnvelope.sender_ && !context_.Members().IsGone(node)) {
+      if (node != aEnvelope.sender_ && !context_.Members().IsGone(node, context_.Now())) {
         former.push_back(node);
       }
     }
@@ -254,7 +254,7 @@
     }
     const auto missing = authority_.Missing();
     for (const auto& node : missing) {
-      if (context_.Members().IsGone(node)) {
+      if (context_.Members().IsGone(node, aNow)) {
         authority_.OnGone(node, aNow);
       }
     }
--- a/include/geraniumpin/process/watch_duty.hpp
+++ b/include/geraniumpin/process/watch_duty.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <string>
 
 namespace geraniumpin {
 
@@ -16,8 +17,9 @@
   auto operator<=>(const WatchFacts&) const = default;
 };
 
-/// \brief Nodes per failure domain that hold a watch at the platform.
-inline constexpr std::size_t kWatchers = 2;
+/// \brief Nodes per failure domain that hold a watch at the platform. In a failure domain of up to
+/// so many nodes each reads for itself, since a read is cheaper there than passing versions on.
+inline constexpr std::size_t kWatchers = 6;
 
 /// \brief Age of the platform's last news at which the first stand-in takes over.
 inline constexpr std::chrono::milliseconds kWatchTakeOver{ 5000 };
@@ -25,6 +27,13 @@
 /// \brief Further age for each later rank, so that stand-ins do not start together.
 inline constexpr std::chrono::milliseconds kWatchStagger{ 1000 };
 
+/// \brief What the nodes of a failure domain are ranked for as readers of the platform.
+[[nodiscard]] inline std::string
+ReaderSubject(const std::string& aFailureDomain)
+{
+  return "watch/" + aFailureDomain;
+}
+
 /// \brief Decides whether the node should read the platform now.
 [[nodiscard]] constexpr bool
 HasWatchDuty(const WatchFacts& aFacts) noexcept
--- a/include/geraniumpin/request/call.hpp
+++ b/include/geraniumpin/request/call.hpp
@@ -47,7 +47,9 @@
 struct Call
 {
   const CallId id_;
+  const std::string requestId_; ///< as the caller named the request; empty if it did not
   const std::string method_;
+  const std::string host_; ///< as the caller named it; empty if it did not
   const std::string path_; ///< with the query
   const HeaderFields headers_;
   const Body body_;
@@ -66,11 +68,17 @@
   const int status_ = 0; ///< HTTP status of the backend server; 0 unless answered
   const HeaderFields headers_;
   const Body body_;
+  const Duration retryAfter_{}; ///< when a repetition may succeed; zero if unknown
 
   /// \brief Makes an answer without content.
-  [[nodiscard]] static Answer Refused(Outcome aOutcome, Reason aReason)
+  [[nodiscard]] static Answer Refused(Outcome aOutcome, Reason aReason, Duration aRetryAfter = {})
   {
-    return { .outcome_ = aOutcome, .reason_ = aReason, .status_ = 0, .headers_ = {}, .body_ = {} };
+    return { .outcome_ = aOutcome,
+             .reason_ = aReason,
+             .status_ = 0,
+             .headers_ = {},
+             .body_ = {},
+             .retryAfter_ = aRetryAfter };
   }
 };
 
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -24,7 +24,9 @@
   const TimePoint deadline_;
   EntryStage stage_ = EntryStage::AwaitsToken;
   std::optional<SpentToken> token_;
-  std::uint32_t attempts_ = 0;
+  std::string service_;        ///< the destination that the request was dealt to
+  std::uint32_t attempts_ = 0; ///< messages to owner nodes
+  std::uint32_t sends_ = 0;    ///< attempts that may have reached an instance
   NodeAddress owner_;
   std::set<NodeAddress> tried_;
 };
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/request/outcome.hpp"
+#include "geraniumpin/version/document.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -14,7 +15,9 @@
   const Reason reason_ = Reason::None;
   const bool idempotent_ = false;
   const bool beforeDeadline_ = false;
-  const std::uint32_t attempts_ = 0; ///< attempts made so far
+  const std::uint32_t attempts_ = 0; ///< attempts made so far, also those that owners refused
+  const std::uint32_t sends_ = 0;    ///< attempts that may have reached an instance
+  const std::uint32_t mostSends_ = kDefaultAttempts; ///< as the route says
 };
 
 /// \brief Limits retries to a share of the requests that succeed.
@@ -26,7 +29,7 @@
 {
 public:
   static constexpr double kRetriesPerSuccess = 0.1;
-  static constexpr double kMostRetries = 10;
+  static constexpr double kMostRetries = 2;
 
   [[nodiscard]] bool AllowsRetry() const noexcept { return tokens_ >= 1; }
   [[nodiscard]] RetryBudget AfterSuccess() const noexcept;
@@ -38,8 +41,18 @@
   double tokens_ = kMostRetries;
 };
 
-/// \brief Attempts that one request may make.
-inline constexpr std::uint32_t kMostAttempts = 3;
+/// \brief Attempts that one request may make, those included that owner nodes refused.
+inline constexpr std::uint32_t kMostAttempts = 5;
+
+/// \brief Owner nodes that one request may ask which are too busy to take it.
+///
+/// The second one is where a full failure domain spills over to; more would multiply the messages
+/// of a fleet that is overloaded everywhere.
+inline constexpr std::uint32_t kMostBusyOwners = 2;
+
+/// \brief Says whether an attempt that ended so may have reached an instance.
+[[nodiscard]] bool
+MayHaveReachedInstance(Outcome aOutcome, Reason aReason) noexcept;
 
 /// \brief Decides whether another attempt may be made.
 ///
--- a/include/geraniumpin/request/route_decision.hpp
+++ b/include/geraniumpin/request/route_decision.hpp
@@ -14,7 +14,6 @@
 {
   const SharedSnapshot snapshot_;
   const Route& route_;
-  const Service& service_;
   const std::string team_; ///< empty on open routes
   const Digest keyDigest_; ///< zero on open routes
 };
@@ -26,16 +25,21 @@
   Expired  ///< it has heard of nobody for longer than the document allows
 };
 
+/// \brief Returns the host of a request in lower case and without its port.
+[[nodiscard]] std::string
+NormalHost(std::string_view aHost);
+
 /// \brief Finds the route of a call and checks its key.
 ///
 /// \param aKeyDigest The digest of the caller's key; nothing if the caller showed none.
 /// \returns The decision, or the reason for which the call is refused as not run.
 ///
 /// \code
-/// const auto decision = DecideRoute(snapshot, "GET", "/orders/1", Digest::Of(key), trust);
+/// const auto decision = DecideRoute(snapshot, "", "GET", "/orders/1", Digest::Of(key), trust);
 /// \endcode
 [[nodiscard]] tl::expected<RouteDecision, Reason>
 DecideRoute(const SharedSnapshot& aSnapshot,
+            std::string_view aHost,
             std::string_view aMethod,
             std::string_view aPath,
             const std::optional<Digest>& aKeyDigest,
--- a/include/geraniumpin/version/document.hpp
+++ b/include/geraniumpin/version/document.hpp
@@ -21,12 +21,23 @@
   auto operator<=>(const FailureDomain&) const = default;
 };
 
+/// \brief Whether an instance takes new work.
+enum class InstanceState
+{
+  Ready,
+  Draining ///< finishes what it has and then ends
+};
+
 /// \brief One instance of a service, reached only through the node on its VM.
 struct BackendServer
 {
-  const std::string name_;
+  const std::string name_; ///< its id; an instance that starts again may keep it
   const std::string failureDomain_;
   const NodeAddress node_;
+  const InstanceState state_ = InstanceState::Ready;
+  const bool cold_ = false;           ///< started lately and bears little load
+  const std::uint32_t slots_ = 0;     ///< concurrent requests that it bears; 0: as the service says
+  const std::uint64_t startedAt_ = 0; ///< Unix milliseconds of its start; 0 if unknown
 
   auto operator<=>(const BackendServer&) const = default;
 };
@@ -37,6 +48,9 @@
   const std::string name_;
   const std::uint32_t slots_ = 0;       ///< concurrent requests that an instance bears when warm
   const std::uint32_t connections_ = 0; ///< connections that an instance accepts
+  const double coldRatePerSecond_ = 0;  ///< requests a second that a cold one bears; 0: no limit
+  const std::chrono::milliseconds coldTime_{}; ///< how long an instance stays cold after its start
+  const std::string healthPath_;               ///< path of its health check; empty if it has none
   const std::vector<BackendServer> backendServers_;
 
   auto operator<=>(const Service&) const = default;
@@ -49,16 +63,32 @@
   Keyed
 };
 
-/// \brief Maps a method and a path prefix to a service.
+/// \brief A service that a route leads to, with its share of the requests.
+struct Destination
+{
+  const std::string service_;
+  const std::uint32_t weight_ = 1; ///< share, relative to the route's other destinations
+
+  auto operator<=>(const Destination&) const = default;
+};
+
+/// \brief Attempts that a request may make when its route does not say.
+inline constexpr std::uint32_t kDefaultAttempts = 3;
+
+/// \brief Maps a host, method and path prefix to services.
 struct Route
 {
   const std::string name_;
+  const std::string host_; ///< lower case, without port; empty: any host
   const std::string pathPrefix_;
-  const std::vector<std::string> methods_;
-  const std::string service_;
+  const std::vector<std::string> methods_; ///< empty: any method
+  const std::vector<Destination> destinations_;
   const Access access_ = Access::Keyed;
   const bool idempotent_ = false;
   const std::chrono::milliseconds timeout_{};
+  const std::chrono::milliseconds targetLatency_{}; ///< 0: none stated
+  const std::uint32_t attempts_ = kDefaultAttempts; ///< instances that one request may be sent to
+  const std::uint32_t priority_ = 0;                ///< 0 is the most important
 
   auto operator<=>(const Route&) const = default;
 };
@@ -67,8 +97,9 @@
 struct Team
 {
   const std::string name_;
-  const double ratePerSecond_ = 0; ///< requests per second
-  const double burst_ = 0;         ///< requests
+  const double ratePerSecond_ = 0;   ///< requests per second; 0: unlimited
+  const double burst_ = 0;           ///< requests
+  const std::uint32_t priority_ = 0; ///< 0 is the most important; goes before the route's
 
   auto operator<=>(const Team&) const = default;
 };
@@ -82,12 +113,25 @@
   auto operator<=>(const Key&) const = default;
 };
 
+/// \brief What callers may send, and how long they may take.
+struct CallerLimits
+{
+  const std::uint64_t mostHeaderBytes_ = 16384;
+  const std::uint64_t mostBodyBytes_ = 8U << 20U;
+  const std::chrono::milliseconds headerTimeout_{ 30000 }; ///< to send a request's header
+  const std::chrono::milliseconds idleTimeout_{ 60000 };   ///< between two requests
+
+  auto operator<=>(const CallerLimits&) const = default;
+};
+
 /// \brief The failure domains, with the settings that hold for the whole mesh.
 struct FailureDomainsPart
 {
+  const std::uint64_t documentNumber_ = 0; ///< of the operators' document
   const std::vector<FailureDomain> failureDomains_;
   /// How long a node that hears of nobody goes on to serve keyed routes.
   const std::chrono::seconds cutOffKeyedService_{ 300 };
+  const CallerLimits callerLimits_;
 
   auto operator<=>(const FailureDomainsPart&) const = default;
 };
--- a/include/geraniumpin/version/snapshot.hpp
+++ b/include/geraniumpin/version/snapshot.hpp
@@ -36,9 +36,13 @@
   [[nodiscard]] const Manifest& Parts() const noexcept { return manifest_; }
   [[nodiscard]] const DecodedParts& Decoded() const noexcept { return parts_; }
 
-  /// \brief Finds the route with the longest prefix of the path that allows the method.
+  /// \brief Finds the route with the longest prefix of the path that allows the host and method.
+  ///
+  /// Routes that name the host go before routes for any host.
+  /// \param aHost The host that the caller named, in lower case and without port.
   /// \returns Null if there is none.
-  [[nodiscard]] const Route* FindRoute(std::string_view aMethod,
+  [[nodiscard]] const Route* FindRoute(std::string_view aHost,
+                                       std::string_view aMethod,
                                        std::string_view aPath) const noexcept;
 
   /// \brief Finds the team that holds the key, comparing digests in constant time.
@@ -57,6 +61,9 @@
   [[nodiscard]] const std::vector<Team>& Teams() const noexcept;
   [[nodiscard]] std::vector<const Service*> Services() const;
   [[nodiscard]] std::chrono::seconds CutOffKeyedService() const noexcept;
+  [[nodiscard]] const CallerLimits& LimitsOfCallers() const noexcept;
+  /// \brief The number of the operators' document.
+  [[nodiscard]] std::uint64_t DocumentNumber() const noexcept;
 
   /// \brief Lists the nodes of a failure domain in the order of their addresses.
   [[nodiscard]] const std::vector<NodeAddress>& NodesOf(std::string_view aFailureDomain) const
@@ -64,6 +71,9 @@
     return nodes_.NodesOf(aFailureDomain);
   }
 
+  /// \brief Lists the nodes of all failure domains.
+  [[nodiscard]] std::vector<NodeAddress> AllNodes() const;
+
   bool operator==(const Snapshot& aOther) const noexcept { return id_ == aOther.id_; }
 
 private:
@@ -74,6 +84,7 @@
   Manifest manifest_;
   DecodedParts parts_;
   NodeIndex nodes_;
+  std::map<std::string, std::vector<const Route*>, std::less<>> routesByHost_;
 };
 
 /// \brief A snapshot as the holders share it.
--- a/include/geraniumpin/version/version_store.hpp
+++ b/include/geraniumpin/version/version_store.hpp
@@ -47,10 +47,13 @@
 [[nodiscard]] std::string_view
 ToString(VersionRefusal aRefusal) noexcept;
 
-/// \brief Decodes the bytes of a part into its value.
+/// \brief Decodes the bytes of a part into its value, and back.
 template<class Codec>
-concept PartCodec = requires(const Codec& aCodec, std::string_view aText)
+concept PartCodec = requires(const Codec& aCodec, std::string_view aText, const PartValue& aPart)
 {
+  {
+    aCodec.Encode(aPart)
+    } -> std::same_as<std::string>;
   {
     aCodec.Decode(aText, aText)
     } -> std::same_as<tl::expected<SharedPart, Faults>>;
--- a/src/adapters/connection/backend_client.cpp
+++ b/src/adapters/connection/backend_client.cpp
@@ -5,31 +5,14 @@
 namespace impl {
 namespace {
 
-HeaderFields
-HeadersFor(const BackendRequest& aRequest)
-{
-  auto headers = aRequest.headers_;
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(aRequest.remaining_);
-  headers.push_back({ "geraniumpin-call-token", aRequest.callToken_ });
-  headers.push_back({ "geraniumpin-deadline-ms", std::to_string(remaining.count()) });
-  return headers;
-}
+constexpr int kMisdirected = 421;
 
-BackendResult
-ResultOf(const HttpResult& aResult)
+void
+AddIfUsed(HeaderFields& aHeaders, const std::string& aName, const std::string& aValue)
 {
-  switch (aResult.end_) {
-    case HttpEnd::ConnectFailed:
-      return BackendResult::ConnectFailed;
-    case HttpEnd::Broken:
-      return BackendResult::Broken;
-    case HttpEnd::Complete:
-      break;
+  if (!aName.empty() && !aValue.empty()) {
+    aHeaders.push_back({ aName, aValue });
   }
-  const auto& response = aResult.response_;
-  const bool refused =
-    response.status_ == 503 && FindHeader(response.headers_, "not-started") == "true";
-  return refused ? BackendResult::Shed : BackendResult::Answered;
 }
 
 HeaderFields
@@ -47,23 +30,62 @@
 } // namespace
 } // namespace impl
 
-BackendClient::BackendClient(HttpClient& aClient, NodeAddress aBackendServer, Receiver aReceiver)
+BackendClient::BackendClient(HttpClient& aClient,
+                             NodeAddress aBackendServer,
+                             HeaderNames aNames,
+                             Receiver aReceiver)
   : client_(aClient)
   , backendServer_(std::move(aBackendServer))
+  , names_(std::move(aNames))
   , receiver_(std::move(aReceiver))
 {
 }
 
+HeaderFields
+BackendClient::HeadersFor(const BackendRequest& aRequest) const
+{
+  auto headers = aRequest.headers_;
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(aRequest.remaining_);
+  impl::AddIfUsed(headers, names_.callToken_, aRequest.callToken_);
+  impl::AddIfUsed(headers, names_.remainingTime_, std::to_string(remaining.count()));
+  impl::AddIfUsed(headers, names_.team_, aRequest.team_);
+  impl::AddIfUsed(headers, names_.expectedInstance_, aRequest.instance_);
+  return headers;
+}
+
+BackendResult
+BackendClient::ResultOf(const HttpResult& aResult) const
+{
+  switch (aResult.end_) {
+    case HttpEnd::ConnectFailed:
+      return BackendResult::ConnectFailed;
+    case HttpEnd::Broken:
+      return BackendResult::Broken;
+    case HttpEnd::Complete:
+      break;
+  }
+  const auto& response = aResult.response_;
+  if (!FindHeader(response.headers_, names_.notStarted_).empty()) {
+    return response.status_ == impl::kMisdirected ? BackendResult::OtherInstance
+                                                  : BackendResult::Shed;
+  }
+  return response.status_ == impl::kMisdirected ? BackendResult::OtherInstance
+                                                : BackendResult::Answered;
+}
+
 void
 BackendClient::Start(const BackendRequest& aRequest)
 {
   const auto id = aRequest.id_;
   const HttpRequest request{ .method_ = aRequest.method_,
+                             .host_ = aRequest.host_,
                              .path_ = aRequest.path_,
-                             .headers_ = impl::HeadersFor(aRequest),
+                             .headers_ = HeadersFor(aRequest),
                              .body_ = aRequest.body_ };
+  const auto echo =
+    aRequest.requestId_.empty() ? Echo{} : Echo{ names_.requestId_, aRequest.requestId_ };
   exchanges_[id] = client_.Start(
-    backendServer_, request, [this, id](const HttpResult& aResult) { OnEnd(id, aResult); });
+    backendServer_, request, echo, [this, id](const HttpResult& aResult) { OnEnd(id, aResult); });
 }
 
 void
@@ -81,7 +103,7 @@
 {
   exchanges_.erase(aId);
   receiver_({ .id_ = aId,
-              .result_ = impl::ResultOf(aResult),
+              .result_ = ResultOf(aResult),
               .status_ = aResult.response_.status_,
               .headers_ = impl::EndToEnd(aResult.response_.headers_),
               .body_ = aResult.response_.body_ });
--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -1,211 +1,423 @@
 #include "http_client.hpp"
 
+#include "../process/system_clock.hpp"
+
+#include <algorithm>
 #include <arpa/inet.h>
-#include <cctype>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
 #include <h2o.h>
-#include <h2o/http1client.h>
 #include <map>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
 
 namespace geraniumpin {
 
 namespace impl {
 namespace {
 
-constexpr std::uint64_t kIdleTimeoutMs = 10000; // after which a pooled connection is closed
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t kMostResponseHeaderBytes = 64U << 10U;
+// A connection is not used in the last part of the time for which the server keeps it.
+constexpr std::chrono::milliseconds kKeepAliveMargin{ 1000 };
+// Time after which unacknowledged bytes end a connection, so that a silent link is noticed.
+constexpr unsigned kUnacknowledgedMs = 3000;
 
 std::string
 EncodeHead(const NodeAddress& aServer, const HttpRequest& aRequest)
 {
   std::string head = aRequest.method_ + " " + aRequest.path_ + " HTTP/1.1\r\n";
-  head += "host: " + aServer.Text() + "\r\n";
+  head += "host: " + (aRequest.host_.empty() ? aServer.Text() : aRequest.host_) + "\r\n";
   for (const auto& field : aRequest.headers_) {
     head += field.name_ + ": " + field.value_ + "\r\n";
   }
   const auto length = aRequest.body_ ? aRequest.body_->size() : 0;
-  head += "content-length: " + std::to_string(length) + "\r\n\r\n";
-  return head;
+  const bool bodyless = aRequest.method_ == "GET" || aRequest.method_ == "HEAD";
+  if (length > 0 || !bodyless) {
+    head += "content-length: " + std::to_string(length) + "\r\n";
+  }
+  return head + "\r\n";
 }
 
 std::string
-LowerCase(const h2o_iovec_t& aName)
+LowerCase(std::string_view aName)
 {
-  std::string name(aName.base, aName.len);
-  for (auto& character : name) {
-    character = static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
-  }
+  std::string name(aName);
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
   return name;
 }
 
+/// Reads "timeout=N" of a Keep-Alive field.
+std::optional<std::chrono::seconds>
+KeepAliveOf(std::string_view aText) noexcept
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = aText.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto text = aText.substr(at + kTimeout.size());
+  std::int64_t seconds = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return result.ec == std::errc{} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 } // namespace
 } // namespace impl
 
-/// \brief Connects h2o's callbacks with the exchanges.
+/// \brief Connections and the exchanges on them.
 struct HttpClient::Impl
 {
+  using Parser = impl::http::response_parser<impl::http::string_body>;
+
   struct Exchange
   {
-    Impl* owner_ = nullptr;
     ClientExchangeId id_ = 0;
-    std::string head_;
-    Body requestBody_;
+    bool isHead_ = false;
+    Echo echo_;
     Callback done_;
-    std::array<h2o_iovec_t, 2> buffers_{};
-    h2o_http1client_t* client_ = nullptr;
-    bool sent_ = false;
-    int status_ = 0;
-    HeaderFields headers_;
-    std::string body_;
+  };
+
+  struct Connection
+  {
+    Impl* owner_ = nullptr;
+    NodeAddress server_;
+    h2o_socket_t* socket_ = nullptr;
+    bool connected_ = false;
+    bool writing_ = false;
+    bool reusable_ = true;
+    std::string head_;
+    Body body_;
+    std::optional<Exchange> exchange_;
+    std::optional<Parser> parser_;
+    TimePoint idleUntil_;
   };
 
   Impl(EventLoop& aLoop, const HttpClientLimits& aLimits)
     : loop_(aLoop)
     , limits_(aLimits)
   {
-    h2o_timeout_init(
-      loop_.Native(), &ioTimeout_, static_cast<std::uint64_t>(limits_.ioTimeout_.count()));
-    context_.loop = loop_.Native();
-    context_.io_timeout = &ioTimeout_;
+    h2o_timeout_init(loop_.Native(), &soon_, 0);
+    failures_.owner_ = this;
+    failures_.entry_.cb = OnFailuresDue;
   }
 
-  h2o_socketpool_t* PoolOf(const NodeAddress& aServer)
+  ClientExchangeId Start(const NodeAddress& aServer,
+                         const HttpRequest& aRequest,
+                         const Echo& aEcho,
+                         Callback aDone)
   {
-    auto& pool = pools_[aServer];
-    if (!pool) {
-      pool = std::make_unique<h2o_socketpool_t>();
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_port = htons(aServer.Port());
-      inet_pton(AF_INET, aServer.Ip().c_str(), &address.sin_addr);
-      h2o_socketpool_init_by_address(pool.get(),
-                                     reinterpret_cast<sockaddr*>(&address),
-                                     sizeof address,
-                                     0,
-                                     limits_.mostIdleConnections_);
-      h2o_socketpool_set_timeout(pool.get(), loop_.Native(), impl::kIdleTimeoutMs);
+    loop_.SkipSleep();
+    const auto id = nextId_++;
+    auto* connection = TakeIdle(aServer);
+    if (connection == nullptr) {
+      connection = Connect(aServer);
+    }
+    connection->head_ = impl::EncodeHead(aServer, aRequest);
+    connection->body_ = aRequest.body_;
+    connection->exchange_ = Exchange{ id, aRequest.method_ == "HEAD", aEcho, std::move(aDone) };
+    byExchange_.emplace(id, connection);
+    ResetParser(*connection);
+    if (connection->socket_ == nullptr) {
+      ReportSoon(id); // not from within this call
+    } else if (connection->connected_) {
+      SendRequest(*connection);
     }
-    return pool.get();
+    return id;
   }
 
-  ClientExchangeId Start(const NodeAddress& aServer, const HttpRequest& aRequest, Callback aDone)
+  void Cancel(ClientExchangeId aId)
   {
     loop_.SkipSleep();
-    const auto id = nextId_++;
-    auto exchange = std::make_unique<Exchange>();
-    exchange->owner_ = this;
-    exchange->id_ = id;
-    exchange->head_ = impl::EncodeHead(aServer, aRequest);
-    exchange->requestBody_ = aRequest.body_;
-    exchange->done_ = std::move(aDone);
-    auto* raw = exchange.get();
-    exchanges_.emplace(id, std::move(exchange));
-    h2o_http1client_connect_with_pool(&raw->client_, raw, &context_, PoolOf(aServer), OnConnect);
-    return id;
+    const auto found = byExchange_.find(aId);
+    if (found == byExchange_.end()) {
+      return;
+    }
+    auto* connection = found->second;
+    byExchange_.erase(found);
+    connection->exchange_.reset();
+    Close(connection);
+  }
+
+private:
+  /// A timer that knows its client; h2o hands back its first member.
+  struct FailureTimer
+  {
+    h2o_timeout_entry_t entry_{};
+    Impl* owner_ = nullptr;
+  };
+
+  void ReportSoon(ClientExchangeId aId)
+  {
+    failed_.push_back(aId);
+    if (!h2o_timeout_is_linked(&failures_.entry_)) {
+      h2o_timeout_link(loop_.Native(), &soon_, &failures_.entry_);
+    }
+  }
+
+  static void OnFailuresDue(h2o_timeout_entry_t* aEntry)
+  {
+    auto* owner = reinterpret_cast<FailureTimer*>(aEntry)->owner_;
+    for (const auto id : std::exchange(owner->failed_, {})) {
+      const auto found = owner->byExchange_.find(id);
+      if (found != owner->byExchange_.end()) {
+        owner->Fail(found->second, HttpEnd::ConnectFailed);
+      }
+    }
+  }
+
+  Connection* TakeIdle(const NodeAddress& aServer)
+  {
+    const auto now = clock_.Now();
+    auto& idle = idle_[aServer];
+    while (!idle.empty()) {
+      auto* connection = idle.back();
+      idle.pop_back();
+      if (connection->idleUntil_ > now) {
+        return connection;
+      }
+      Close(connection);
+    }
+    return nullptr;
   }
 
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* aClient,
-                                           const char* aError,
-                                           h2o_iovec_t** aBuffers,
-                                           std::size_t* aCount,
-                                           int* aIsHead)
+  Connection* Connect(const NodeAddress& aServer)
   {
-    auto* exchange = static_cast<Exchange*>(aClient->data);
+    auto owned = std::make_unique<Connection>();
+    auto* connection = owned.get();
+    connection->owner_ = this;
+    connection->server_ = aServer;
+    connections_.emplace(connection, std::move(owned));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aServer.Port());
+    inet_pton(AF_INET, aServer.Ip().c_str(), &address.sin_addr);
+    connection->socket_ = h2o_socket_connect(
+      loop_.Native(), reinterpret_cast<sockaddr*>(&address), sizeof address, OnConnect);
+    if (connection->socket_ != nullptr) {
+      connection->socket_->data = connection;
+    }
+    return connection;
+  }
+
+  static void OnConnect(h2o_socket_t* aSocket, const char* aError)
+  {
+    auto* connection = static_cast<Connection*>(aSocket->data);
+    auto* owner = connection->owner_;
     if (aError != nullptr) {
-      exchange->client_ = nullptr;
-      exchange->owner_->Finish(exchange->id_, HttpEnd::ConnectFailed);
-      return nullptr;
-    }
-    exchange->sent_ = true;
-    exchange->buffers_[0] = { exchange->head_.data(), exchange->head_.size() };
-    *aCount = 1;
-    if (exchange->requestBody_ && !exchange->requestBody_->empty()) {
-      exchange->buffers_[1] = { const_cast<char*>(exchange->requestBody_->data()),
-                                exchange->requestBody_->size() };
-      *aCount = 2;
-    }
-    *aBuffers = exchange->buffers_.data();
-    *aIsHead = exchange->head_.starts_with("HEAD ") ? 1 : 0;
-    return OnHead;
-  }
-
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* aClient,
-                                        const char* aError,
-                                        int /*aMinorVersion*/,
-                                        int aStatus,
-                                        h2o_iovec_t /*aMessage*/,
-                                        h2o_header_t* aHeaders,
-                                        std::size_t aCount,
-                                        int /*aRoundTrip*/)
-  {
-    auto* exchange = static_cast<Exchange*>(aClient->data);
-    const bool ended = aError == h2o_http1client_error_is_eos;
-    if (aError != nullptr && !ended) {
-      exchange->client_ = nullptr;
-      exchange->owner_->Finish(exchange->id_, HttpEnd::Broken);
-      return nullptr;
-    }
-    exchange->status_ = aStatus;
-    for (std::size_t i = 0; i < aCount; ++i) {
-      exchange->headers_.push_back(
-        { impl::LowerCase(*aHeaders[i].name), { aHeaders[i].value.base, aHeaders[i].value.len } });
-    }
-    if (ended) {
-      exchange->client_ = nullptr;
-      exchange->owner_->Finish(exchange->id_, HttpEnd::Complete);
-      return nullptr;
-    }
-    return OnBody;
-  }
-
-  static int OnBody(h2o_http1client_t* aClient, const char* aError)
-  {
-    auto* exchange = static_cast<Exchange*>(aClient->data);
-    const bool ended = aError == h2o_http1client_error_is_eos;
-    if (aError != nullptr && !ended) {
-      exchange->client_ = nullptr;
-      exchange->owner_->Finish(exchange->id_, HttpEnd::Broken);
-      return -1;
-    }
-    auto& input = aClient->sock->input;
-    exchange->body_.append(input->bytes, input->size);
-    h2o_buffer_consume(&input, input->size);
-    const bool tooLarge = exchange->body_.size() > exchange->owner_->limits_.mostBodyBytes_;
-    if (!ended && !tooLarge) {
-      return 0;
-    }
-    exchange->client_ = nullptr;
-    exchange->owner_->Finish(exchange->id_, tooLarge ? HttpEnd::Broken : HttpEnd::Complete);
-    return tooLarge ? -1 : 0;
-  }
-
-  void Finish(ClientExchangeId aId, HttpEnd aEnd)
-  {
-    auto node = exchanges_.extract(aId);
-    if (node.empty()) {
+      owner->Fail(connection, HttpEnd::ConnectFailed);
       return;
     }
-    auto& exchange = *node.mapped();
-    const HttpResult result{ .end_ = aEnd,
-                             .response_ = { .status_ = exchange.status_,
-                                            .headers_ = std::move(exchange.headers_),
-                                            .body_ = MakeBody(exchange.body_) } };
-    exchange.done_(result);
+    connection->connected_ = true;
+    const int fd = h2o_socket_get_fd(aSocket);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(
+      fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &impl::kUnacknowledgedMs, sizeof impl::kUnacknowledgedMs);
+    h2o_socket_read_start(aSocket, OnRead);
+    owner->SendRequest(*connection);
   }
 
-  void Cancel(ClientExchangeId aId)
+  void SendRequest(Connection& aConnection)
   {
-    loop_.SkipSleep();
-    auto node = exchanges_.extract(aId);
-    if (!node.empty() && node.mapped()->client_ != nullptr) {
-      h2o_http1client_cancel(node.mapped()->client_);
+    std::array<h2o_iovec_t, 2> buffers{};
+    std::size_t count = 1;
+    buffers[0] = { aConnection.head_.data(), aConnection.head_.size() };
+    if (aConnection.body_ && !aConnection.body_->empty()) {
+      buffers[1] = { const_cast<char*>(aConnection.body_->data()), aConnection.body_->size() };
+      count = 2;
+    }
+    aConnection.writing_ = true;
+    h2o_socket_write(aConnection.socket_, buffers.data(), count, OnWritten);
+  }
+
+  /// A failed write ends nothing by itself: an early response may wait to be read.
+  static void OnWritten(h2o_socket_t* aSocket, const char* aError)
+  {
+    auto* connection = static_cast<Connection*>(aSocket->data);
+    connection->writing_ = false;
+    connection->reusable_ = connection->reusable_ && aError == nullptr;
+    if (!connection->exchange_) {
+      connection->owner_->Keep(connection);
     }
   }
 
+  static void OnRead(h2o_socket_t* aSocket, const char* aError)
+  {
+    auto* connection = static_cast<Connection*>(aSocket->data);
+    auto* owner = connection->owner_;
+    if (aError != nullptr) {
+      owner->OnStreamEnd(connection, aError == h2o_socket_error_closed);
+      return;
+    }
+    if (!connection->exchange_) {
+      owner->Close(connection); // bytes without a request belong to nobody
+      return;
+    }
+    owner->Parse(connection);
+  }
+
+  void Parse(Connection* aConnection)
+  {
+    auto& input = aConnection->socket_->input;
+    while (input->size > 0) {
+      boost::system::error_code error;
+      const auto used =
+        aConnection->parser_->put(boost::asio::buffer(input->bytes, input->size), error);
+      h2o_buffer_consume(&input, used);
+      if (error == impl::http::error::need_more) {
+        return;
+      }
+      if (error) {
+        Fail(aConnection, HttpEnd::Broken);
+        return;
+      }
+      if (!aConnection->parser_->is_done()) {
+        if (used == 0) {
+          return;
+        }
+        continue;
+      }
+      if (IsInterim(*aConnection) || BelongsToEarlier(*aConnection)) {
+        ResetParser(*aConnection);
+        continue;
+      }
+      aConnection->reusable_ = aConnection->reusable_ && input->size == 0;
+      Complete(aConnection);
+      return;
+    }
+  }
+
+  static bool IsInterim(const Connection& aConnection)
+  {
+    return aConnection.parser_->get().result_int() / 100 == 1;
+  }
+
+  static bool BelongsToEarlier(const Connection& aConnection)
+  {
+    const auto& echo = aConnection.exchange_->echo_;
+    if (echo.name_.empty()) {
+      return false;
+    }
+    const auto& response = aConnection.parser_->get();
+    const auto found = response.find(echo.name_);
+    return found == response.end() ||
+           std::string_view(found->value().data(), found->value().size()) != echo.value_;
+  }
+
+  void OnStreamEnd(Connection* aConnection, bool aOrderly)
+  {
+    aConnection->reusable_ = false;
+    if (!aConnection->exchange_) {
+      Close(aConnection);
+      return;
+    }
+    auto& parser = *aConnection->parser_;
+    boost::system::error_code error;
+    if (aOrderly && parser.is_header_done() && parser.need_eof()) {
+      parser.put_eof(error);
+      if (!error && parser.is_done() && !BelongsToEarlier(*aConnection)) {
+        Complete(aConnection);
+        return;
+      }
+    }
+    Fail(aConnection, HttpEnd::Broken);
+  }
+
+  /// Hands over the response; the rest of an unfinished request body is still sent.
+  void Complete(Connection* aConnection)
+  {
+    auto& response = aConnection->parser_->get();
+    HeaderFields headers;
+    for (const auto& field : response) {
+      headers.push_back(
+        { impl::LowerCase({ field.name_string().data(), field.name_string().size() }),
+          { field.value().data(), field.value().size() } });
+    }
+    auto lifetime = std::chrono::duration_cast<Duration>(limits_.idleTimeout_);
+    if (const auto stated = impl::KeepAliveOf(FindHeader(headers, "keep-alive"))) {
+      lifetime = std::min<Duration>(lifetime, *stated - impl::kKeepAliveMargin);
+    }
+    aConnection->idleUntil_ = clock_.Now() + lifetime;
+    aConnection->reusable_ = aConnection->reusable_ && aConnection->parser_->keep_alive();
+    const HttpResult result{ .end_ = HttpEnd::Complete,
+                             .response_ = { .status_ = static_cast<int>(response.result_int()),
+                                            .headers_ = std::move(headers),
+                                            .body_ = MakeBody(std::move(response.body())) } };
+    const auto done = TakeExchange(*aConnection);
+    if (!aConnection->writing_) {
+      Keep(aConnection);
+    }
+    done(result);
+  }
+
+  Callback TakeExchange(Connection& aConnection)
+  {
+    byExchange_.erase(aConnection.exchange_->id_);
+    auto done = std::move(aConnection.exchange_->done_);
+    aConnection.exchange_.reset();
+    return done;
+  }
+
+  void Fail(Connection* aConnection, HttpEnd aEnd)
+  {
+    if (!aConnection->exchange_) {
+      Close(aConnection);
+      return;
+    }
+    const auto done = TakeExchange(*aConnection);
+    Close(aConnection);
+    done({ .end_ = aEnd, .response_ = {} });
+  }
+
+  void Keep(Connection* aConnection)
+  {
+    if (!aConnection->reusable_ || aConnection->idleUntil_ <= clock_.Now()) {
+      Close(aConnection);
+      return;
+    }
+    aConnection->body_.reset();
+    idle_[aConnection->server_].push_back(aConnection);
+  }
+
+  void Close(Connection* aConnection)
+  {
+    auto& idle = idle_[aConnection->server_];
+    idle.erase(std::remove(idle.begin(), idle.end(), aConnection), idle.end());
+    if (aConnection->socket_ != nullptr) {
+      h2o_socket_close(aConnection->socket_);
+    }
+    connections_.erase(aConnection);
+  }
+
+  void ResetParser(Connection& aConnection)
+  {
+    aConnection.parser_.emplace();
+    auto& parser = *aConnection.parser_;
+    parser.eager(true);
+    parser.header_limit(impl::kMostResponseHeaderBytes);
+    parser.body_limit(limits_.mostBodyBytes_);
+    parser.skip(aConnection.exchange_->isHead_);
+  }
+
   EventLoop& loop_;
+  SystemClock clock_;
   HttpClientLimits limits_;
-  h2o_timeout_t ioTimeout_{};
-  h2o_http1client_ctx_t context_{};
-  std::map<NodeAddress, std::unique_ptr<h2o_socketpool_t>> pools_;
-  std::map<ClientExchangeId, std::unique_ptr<Exchange>> exchanges_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<NodeAddress, std::vector<Connection*>> idle_;
+  std::map<ClientExchangeId, Connection*> byExchange_;
+  std::vector<ClientExchangeId> failed_; ///< connections that could not even be begun
+  h2o_timeout_t soon_{};
+  FailureTimer failures_;
   ClientExchangeId nextId_ = 1;
 };
 
@@ -216,13 +428,16 @@
 
 HttpClient::~HttpClient()
 {
-  (void)impl_.release(); // pooled connections refer to it until the process ends
+  (void)impl_.release(); // open sockets refer to it until the process ends
 }
 
 ClientExchangeId
-HttpClient::Start(const NodeAddress& aServer, const HttpRequest& aRequest, Callback aDone)
+HttpClient::Start(const NodeAddress& aServer,
+                  const HttpRequest& aRequest,
+                  const Echo& aEcho,
+                  Callback aDone)
 {
-  return impl_->Start(aServer, aRequest, std::move(aDone));
+  return impl_->Start(aServer, aRequest, aEcho, std::move(aDone));
 }
 
 void
--- a/src/adapters/connection/http_client.hpp
+++ b/src/adapters/connection/http_client.hpp
@@ -26,21 +26,34 @@
   const HttpResponse response_;
 };
 
+/// \brief A header field that the server must repeat in its response.
+struct Echo
+{
+  std::string name_; ///< lower case; empty: no field is expected
+  std::string value_;
+};
+
 /// \brief Names an exchange that an HttpClient started.
 using ClientExchangeId = std::uint64_t;
 
 /// \brief Limits of an HTTP client.
 struct HttpClientLimits
 {
-  const std::chrono::milliseconds ioTimeout_{}; ///< longest silence of the server
+  /// Idle time after which a connection is not used again, unless the server states a shorter one.
+  const std::chrono::milliseconds idleTimeout_{};
   const std::size_t mostBodyBytes_ = 0;
-  const std::size_t mostIdleConnections_ = 0; ///< per server
 };
 
-/// \brief An HTTP client on the event loop, built on h2o; it keeps connections open.
+/// \brief An HTTP client on the event loop: h2o's sockets, Boost.Beast's parser.
+///
+/// It keeps connections open and uses the one that was idle for the shortest time. It sends one
+/// request at a time on a connection. A response that does not echo the request's field belongs to
+/// an earlier request and is dropped. Bytes after a response, or without a request, close the
+/// connection. A response without length is complete only if its connection ends without a reset.
+/// There is no timeout: the caller of Start cancels.
 ///
 /// \code
-/// client.Start(address, request, [](const HttpResult& result) { ... });
+/// client.Start(address, request, {}, [](const HttpResult& result) { ... });
 /// \endcode
 class HttpClient
 {
@@ -53,9 +66,12 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// \brief Sends a request; the callback is called once, unless the exchange is cancelled.
-  ClientExchangeId Start(const NodeAddress& aServer, const HttpRequest& aRequest, Callback aDone);
+  ClientExchangeId Start(const NodeAddress& aServer,
+                         const HttpRequest& aRequest,
+                         const Echo& aEcho,
+                         Callback aDone);
 
-  /// \brief Closes the connection of an exchange; its callback is not called.
+  /// \brief Gives up an exchange and closes its connection.
   void Cancel(ClientExchangeId aId);
 
 private:
--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -151,6 +151,7 @@
     }
     const auto& entity = aRequest->entity;
     const HttpRequest request{ .method_ = impl::ToText(aRequest->method),
+                               .host_ = impl::ToText(aRequest->authority),
                                .path_ = impl::ToText(aRequest->path),
                                .headers_ = impl::HeadersOf(*aRequest),
                                .body_ = MakeBody({ entity.base, entity.len }) };
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -87,10 +87,14 @@
   auto& to = *aEnvelope.mutable_call_request();
   Write(aFrom.id_, *to.mutable_id());
   to.set_attempt(aFrom.attempt_);
+  to.set_request_id(aFrom.requestId_);
   to.set_route(aFrom.route_);
+  to.set_service(aFrom.service_);
+  to.set_rank(aFrom.rank_);
   to.set_team(aFrom.team_);
   to.set_key_digest(BytesOf(aFrom.keyDigest_));
   to.set_method(aFrom.method_);
+  to.set_host(aFrom.host_);
   to.set_path(aFrom.path_);
   WriteHeaders(aFrom.headers_, to.mutable_headers());
   if (aFrom.body_) {
@@ -105,10 +109,14 @@
 {
   return CallRequest{ .id_ = Read(aFrom.id()),
                       .attempt_ = aFrom.attempt(),
+                      .requestId_ = aFrom.request_id(),
                       .route_ = aFrom.route(),
+                      .service_ = aFrom.service(),
+                      .rank_ = aFrom.rank(),
                       .team_ = aFrom.team(),
                       .keyDigest_ = Digest::FromBytes(aFrom.key_digest()).value_or(Digest{}),
                       .method_ = aFrom.method(),
+                      .host_ = aFrom.host(),
                       .path_ = aFrom.path(),
                       .headers_ = ReadHeaders(aFrom.headers()),
                       .body_ = MakeBody(aFrom.body()),
@@ -129,6 +137,7 @@
   if (aFrom.answer_.body_) {
     to.set_body(*aFrom.answer_.body_);
   }
+  to.set_retry_after_us(Microseconds(aFrom.answer_.retryAfter_));
   to.set_load(aFrom.hint_.load_);
   to.set_takes_work(aFrom.hint_.takesWork_);
 }
@@ -146,7 +155,8 @@
                                  .reason_ = static_cast<Reason>(aFrom.reason()),
                                  .status_ = aFrom.status(),
                                  .headers_ = ReadHeaders(aFrom.headers()),
-                                 .body_ = MakeBody(aFrom.body()) },
+                                 .body_ = MakeBody(aFrom.body()),
+                                 .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) },
                     .hint_ = { aFrom.load(), aFrom.takes_work() } };
 }
 
--- a/src/adapters/connection/platform_client.hpp
+++ b/src/adapters/connection/platform_client.hpp
@@ -1,43 +1,95 @@
 #pragma once
 
 #include "geraniumpin/connection/config_watch.hpp"
-#include "geraniumpin/process/platform_reader.hpp"
 #include "http_client.hpp"
 
+#include <concepts>
 #include <functional>
+#include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace geraniumpin {
 
-/// \brief Receives what the platform answered.
-struct PlatformEvents
+/// \brief How a platform wants to be asked, and what its answers mean.
+template<class P>
+concept PlatformProtocol = requires(const std::string& aKey,
+                                    std::uint64_t aRevision,
+                                    std::chrono::milliseconds aWait,
+                                    const HttpResponse& aResponse)
 {
-  std::function<void(const HeadRead&)> onHead_;
-  std::function<void(const ContentRead&)> onContent_;
-  std::function<void(const VmListRead&)> onVmList_;
+  {
+    P::PagePath(aKey)
+    } -> std::same_as<std::string>;
+  {
+    P::WatchPath(aRevision, aWait)
+    } -> std::same_as<std::string>;
+  {
+    P::Parse(aResponse)
+    } -> std::same_as<ItemsRead>;
 };
 
-/// \brief Reads the platform's configuration service over HTTP; satisfies ConfigSource.
+/// \brief Reads a platform over HTTP, one read at a time; satisfies ConfigSource.
+template<PlatformProtocol Protocol>
 class PlatformClient
 {
 public:
-  PlatformClient(HttpClient& aClient, NodeAddress aPlatform, PlatformEvents aEvents);
+  using Receiver = std::function<void(const ItemsRead&)>;
 
-  void FetchHead(std::uint64_t aAfterRevision);
-  void FetchContent(const Digest& aDigest);
-  void FetchVmList(std::uint64_t aAfterRevision);
+  PlatformClient(HttpClient& aClient, NodeAddress aPlatform, Receiver aReceiver)
+    : client_(aClient)
+    , platform_(std::move(aPlatform))
+    , receiver_(std::move(aReceiver))
+  {
+  }
+
+  void ReadItems(const std::string& aAfterKey) { Get(Protocol::PagePath(aAfterKey)); }
+
+  void WatchItems(std::uint64_t aRevision, Duration aWait)
+  {
+    Get(
+      Protocol::WatchPath(aRevision, std::chrono::duration_cast<std::chrono::milliseconds>(aWait)));
+  }
+
+  void CancelRead()
+  {
+    if (exchange_) {
+      client_.Cancel(*exchange_);
+      exchange_.reset();
+    }
+  }
 
 private:
-  void Get(const std::string& aPath, std::function<void(const HttpResponse*)> aDone);
+  void Get(const std::string& aPath)
+  {
+    CancelRead();
+    const HttpRequest request{
+      .method_ = "GET", .host_ = {}, .path_ = aPath, .headers_ = {}, .body_ = {}
+    };
+    exchange_ = client_.Start(platform_, request, {}, [this](const HttpResult& aResult) {
+      exchange_.reset();
+      receiver_(ReadOf(aResult));
+    });
+  }
+
+  [[nodiscard]] static ItemsRead ReadOf(const HttpResult& aResult)
+  {
+    switch (aResult.end_) {
+      case HttpEnd::ConnectFailed:
+        return { .detail_ = "connect failed" };
+      case HttpEnd::Broken:
+        return { .detail_ = "connection broken" };
+      case HttpEnd::Complete:
+        break;
+    }
+    return Protocol::Parse(aResult.response_);
+  }
 
   HttpClient& client_;
   NodeAddress platform_;
-  PlatformEvents events_;
+  Receiver receiver_;
+  std::optional<ClientExchangeId> exchange_;
 };
 
-/// \brief Decodes the platform's list of VMs.
-/// \returns Nothing if the text is malformed.
-[[nodiscard]] std::optional<VmList>
-ParseVmList(std::string_view aText);
-
 } // namespace geraniumpin
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -25,19 +25,15 @@
 nlohmann::json
 EncodeStatus(const NodeStatus& aStatus)
 {
-  return { { "node", aStatus.node_.Text() },
-           { "failure_domain", aStatus.failureDomain_ },
-           { "incarnation", aStatus.incarnation_ },
-           { "version", aStatus.version_.number_ },
-           { "digest", aStatus.version_.digest_.Hex() },
-           { "state", ToString(aStatus.state_) },
-           { "watcher", aStatus.watcher_ },
-           { "home_teams", aStatus.homeTeams_ },
-           { "home_authorized", aStatus.homeAuthorized_ },
-           { "entry_calls", aStatus.entryCalls_ },
-           { "owned_attempts", aStatus.ownedAttempts_ },
-           { "queued", aStatus.queued_ },
-           { "concurrency_limit", aStatus.concurrencyLimit_ } };
+  return {
+    { "node", aStatus.node_.Text() },        { "failure_domain", aStatus.failureDomain_ },
+    { "incarnation", aStatus.incarnation_ }, { "version", aStatus.version_.number_ },
+    { "revision", aStatus.revision_ },       { "digest", aStatus.version_.digest_.Hex() },
+    { "state", ToString(aStatus.state_) },   { "watcher", aStatus.watcher_ },
+    { "home_teams", aStatus.homeTeams_ },    { "home_authorized", aStatus.homeAuthorized_ },
+    { "entry_calls", aStatus.entryCalls_ },  { "owned_attempts", aStatus.ownedAttempts_ },
+    { "queued", aStatus.queued_ },           { "concurrency_limit", aStatus.concurrencyLimit_ }
+  };
 }
 
 AdminGateway::AdminGateway(EventLoop& aLoop, const NodeAddress& aAddress, AdminSources aSources)
@@ -92,10 +88,12 @@
 nlohmann::json
 AdminGateway::Explain(const HttpRequest& aRequest) const
 {
-  const auto key = KeyOf(aRequest.headers_);
+  const auto key = KeyOf(aRequest.headers_, HeaderNames{});
   const auto digest = key.empty() ? std::nullopt : std::optional(Digest::Of(key));
-  const auto explanation = sources_.explain_(
-    QueryParameter(aRequest.path_, "method"), QueryParameter(aRequest.path_, "path"), digest);
+  const auto explanation = sources_.explain_(QueryParameter(aRequest.path_, "host"),
+                                             QueryParameter(aRequest.path_, "method"),
+                                             QueryParameter(aRequest.path_, "path"),
+                                             digest);
   if (!explanation) {
     return { { "refused", ToString(explanation.error()) } };
   }
--- a/src/adapters/process/admin_gateway.hpp
+++ b/src/adapters/process/admin_gateway.hpp
@@ -20,13 +20,14 @@
   std::function<NodeStatus()> status_;
   std::function<const Metrics&()> metrics_;
   std::function<TransportCounters()> transport_;
-  std::function<tl::expected<Explanation, Reason>(const std::string& aMethod,
+  std::function<tl::expected<Explanation, Reason>(const std::string& aHost,
+                                                  const std::string& aMethod,
                                                   const std::string& aPath,
                                                   const std::optional<Digest>& aKeyDigest)>
     explain_;
 };
 
-/// \brief Serves operators: GET /status, /metrics and /explain?method=M&path=P, all as JSON.
+/// \brief Serves operators: GET /status, /metrics and /explain?host=H&method=M&path=P, all as JSON.
 class AdminGateway
 {
 public:
--- /dev/null
+++ b/src/adapters/process/line_log.cpp
@@ -0,0 +1,131 @@
+#include "line_log.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <unistd.h>
+#include <utility>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+std::string_view
+LevelOf(Severity aSeverity) noexcept
+{
+  switch (aSeverity) {
+    case Severity::Routine:
+      return "debug";
+    case Severity::Info:
+      return "info";
+    case Severity::Warning:
+      return "warning";
+    case Severity::Error:
+      return "error";
+  }
+  return "unknown";
+}
+
+/// The time of day in UTC with milliseconds, as in 2026-12-04T10:20:30.123Z.
+std::string
+TimeOfDay()
+{
+  timespec time{};
+  clock_gettime(CLOCK_REALTIME, &time);
+  std::tm parts{};
+  gmtime_r(&time.tv_sec, &parts);
+  std::array<char, 48> buffer{};
+  const auto length = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  const auto more = std::snprintf(
+    buffer.data() + length, buffer.size() - length, ".%03ldZ", time.tv_nsec / 1'000'000);
+  return { buffer.data(), length + static_cast<std::size_t>(more) };
+}
+
+std::string
+LineOf(Severity aSeverity, const std::string& aText)
+{
+  std::string line = "ts=" + TimeOfDay() + " level=";
+  line += LevelOf(aSeverity);
+  return line + " " + aText + "\n";
+}
+
+} // namespace
+} // namespace impl
+
+void
+StartLogging(const char* aProgram)
+{
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(aProgram);
+}
+
+LineLog::LineLog(int aDescriptor)
+  : descriptor_(aDescriptor)
+{
+  fcntl(descriptor_, F_SETFL, fcntl(descriptor_, F_GETFL) | O_NONBLOCK);
+}
+
+bool
+LineLog::Take(Budget& aBudget, std::size_t aBytes, TimePoint aNow)
+{
+  const double elapsed = std::chrono::duration<double>(aNow - aBudget.filledAt_).count();
+  aBudget.level_ = std::min(aBudget.perSecond_ * kBurstSeconds,
+                            aBudget.level_ + std::max(0.0, elapsed) * aBudget.perSecond_);
+  aBudget.filledAt_ = aNow;
+  const auto bytes = static_cast<double>(aBytes);
+  if (aBudget.level_ < bytes) {
+    return false;
+  }
+  aBudget.level_ -= bytes;
+  return true;
+}
+
+void
+LineLog::Append(const std::string& aLine)
+{
+  if (pending_.size() + aLine.size() > kMostPendingBytes) {
+    ++dropped_;
+    ++droppedSinceLine_;
+    return;
+  }
+  pending_ += aLine;
+}
+
+void
+LineLog::Write(const LogEvent& aEvent)
+{
+  auto& budget = aEvent.Level() == Severity::Routine ? routine_ : other_;
+  if (!Take(budget, aEvent.Line().size(), clock_.Now())) {
+    ++dropped_;
+    ++droppedSinceLine_;
+    return;
+  }
+  if (droppedSinceLine_ > 0 && pending_.size() < kMostPendingBytes / 2) {
+    LogEvent event("log_dropped", Severity::Warning);
+    event.With("lines", std::exchange(droppedSinceLine_, 0));
+    Append(impl::LineOf(event.Level(), event.Line()));
+  }
+  Append(impl::LineOf(aEvent.Level(), aEvent.Line()));
+}
+
+void
+LineLog::Flush()
+{
+  while (!pending_.empty()) {
+    const auto written = write(descriptor_, pending_.data(), pending_.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return; // the reader is slow or gone; the lines stay until there is no room for more
+    }
+    pending_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+} // namespace geraniumpin
--- /dev/null
+++ b/src/adapters/process/line_log.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "geraniumpin/process/log_event.hpp"
+#include "system_clock.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace geraniumpin {
+
+/// \brief Starts glog, which reports broken invariants on standard error.
+void
+StartLogging(const char* aProgram);
+
+/// \brief Writes events to a descriptor, one line each, without ever blocking; satisfies Log.
+///
+/// A line is "ts=TIME level=LEVEL event=NAME key=value ...". Each level has a budget of bytes a
+/// second, so that routine lines are left out before others. A reader that stops reading costs
+/// lines as well. A line "event=log_dropped" says how many were left out.
+///
+/// \code
+/// LineLog log(STDOUT_FILENO);
+/// log.Write(LogEvent("node_start"));
+/// log.Flush();
+/// \endcode
+class LineLog
+{
+public:
+  /// Bytes a second of lines about routine successes.
+  static constexpr double kRoutineBytesPerSecond = 8 * 1024;
+  /// Bytes a second of all other lines.
+  static constexpr double kOtherBytesPerSecond = 48 * 1024;
+  /// Time whose budget may be used at once.
+  static constexpr double kBurstSeconds = 2;
+  /// Bytes kept while the reader does not read.
+  static constexpr std::size_t kMostPendingBytes = 256 * 1024;
+
+  /// \param aDescriptor Made non-blocking.
+  explicit LineLog(int aDescriptor);
+
+  void Write(const LogEvent& aEvent);
+
+  /// \brief Writes as much as the descriptor takes at once.
+  void Flush();
+
+  [[nodiscard]] std::uint64_t Dropped() const noexcept { return dropped_; }
+
+private:
+  /// A token bucket in bytes.
+  struct Budget
+  {
+    double perSecond_ = 0;
+    double level_ = 0;
+    TimePoint filledAt_{};
+  };
+
+  static bool Take(Budget& aBudget, std::size_t aBytes, TimePoint aNow);
+  void Append(const std::string& aLine);
+
+  SystemClock clock_;
+  int descriptor_;
+  Budget routine_{ kRoutineBytesPerSecond, kRoutineBytesPerSecond* kBurstSeconds };
+  Budget other_{ kOtherBytesPerSecond, kOtherBytesPerSecond* kBurstSeconds };
+  std::string pending_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t droppedSinceLine_ = 0;
+};
+
+} // namespace geraniumpin
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -1,31 +1,219 @@
 #pragma once
 
-#include "geraniumpin/process/settings.hpp"
+#include "../connection/backend_client.hpp"
+#include "../connection/http_client.hpp"
+#include "../connection/json_platform.hpp"
+#include "../connection/peer_transport.hpp"
+#include "../connection/platform_client.hpp"
+#include "../request/caller_gateway.hpp"
+#include "../version/document_json.hpp"
+#include "admin_gateway.hpp"
+#include "event_loop.hpp"
+#include "geraniumpin/process/node.hpp"
+#include "line_log.hpp"
+#include "secure_random.hpp"
+#include "settings_watch.hpp"
+#include "signal_watch.hpp"
+#include "system_clock.hpp"
 
-#include <memory>
+#include <optional>
+#include <unistd.h>
+#include <utility>
 
 namespace geraniumpin {
 
+/// \brief The project's own interface towards callers, backend servers and the platform.
+struct OwnInterface
+{
+  using Protocol = JsonPlatform;
+  using Decoder = JsonItemDecoder;
+
+  [[nodiscard]] static HeaderNames Headers() { return {}; }
+  [[nodiscard]] static Decoder MakeDecoder(const Settings& /*aSettings*/) { return {}; }
+};
+
 /// \brief A node with its real outside: event loop, sockets, clock and log.
 ///
+/// \tparam InterfaceType Says how the outside speaks, as OwnInterface does.
+///
 /// \code
-/// NodeProcess process(settings);
+/// NodeProcess<OwnInterface> process(settings, "node.json");
 /// return process.Run();
 /// \endcode
+template<class InterfaceType>
 class NodeProcess
 {
 public:
-  explicit NodeProcess(const Settings& aSettings);
-  ~NodeProcess();
+  /// \param aSettingsPath File that is read again on SIGHUP and when it changes.
+  NodeProcess(const Settings& aSettings, std::string aSettingsPath)
+    : settings_(aSettings)
+    , incarnation_(MakeIncarnation())
+    , decoder_(InterfaceType::MakeDecoder(aSettings))
+    , signals_(loop_)
+    , settingsWatch_(std::move(aSettingsPath), clock_.Now())
+    , backendHttp_(loop_, { kBackendIdle, aSettings.MostBodyBytes() })
+    , platformHttp_(loop_, { kPlatformIdle, kMostPlatformBytes })
+    , transport_(loop_,
+                 aSettings.PeerListenAddress(),
+                 aSettings.PeerKey(),
+                 kMostMessageBytes,
+                 [this](const Envelope& aEnvelope) { node_.OnEnvelope(aEnvelope); })
+    , backend_(backendHttp_,
+               aSettings.BackendServerAddress(),
+               InterfaceType::Headers(),
+               [this](const BackendEnd& aEnd) { node_.OnBackendEnd(aEnd); })
+    , platform_(platformHttp_,
+                aSettings.PlatformAddress(),
+                [this](const ItemsRead& aRead) { node_.OnItemsRead(aRead); })
+    , callers_(loop_,
+               aSettings.CallerAddress(),
+               aSettings.MostBodyBytes(),
+               incarnation_,
+               InterfaceType::Headers(),
+               aSettings.OwnService(),
+               { [this](const Call& aCall) { node_.OnCall(aCall); },
+                 [this](const CallId& aId) { node_.OnCallerGone(aId); } })
+    , node_({ clock_, random_, log_, transport_, backend_, callers_, platform_, codec_, decoder_ },
+            aSettings,
+            incarnation_)
+    , admin_(loop_, aSettings.AdminAddress(), MakeAdminSources())
+  {
+    if (!aSettings.ReadyAddress().Empty()) {
+      ready_.emplace(loop_,
+                     aSettings.ReadyAddress(),
+                     kMostReadyBytes,
+                     HttpHandlers{ [this](ExchangeId aId, const HttpRequest& /*aRequest*/) {
+                                    ready_->Respond(
+                                      aId, { .status_ = node_.IsReady() ? 200 : 503, .body_ = {} });
+                                  },
+                                   {} });
+    }
+  }
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
 
   /// \brief Runs until SIGTERM or SIGINT, finishes what runs, and returns the exit code.
-  int Run();
+  int Run()
+  {
+    log_.Write(LogEvent("node_start")
+                 .With("node", settings_.PeerAddress().Text())
+                 .With("failure_domain", settings_.FailureDomainName())
+                 .With("service", settings_.OwnService())
+                 .With("incarnation", incarnation_));
+    while (!signals_.StopRequested()) {
+      Step(node_.NextDeadline());
+    }
+    return Drain();
+  }
 
 private:
-  struct Impl;
-  std::unique_ptr<Impl> impl_;
+  using Environment = NodeEnvironment<const SystemClock,
+                                      SecureRandom,
+                                      LineLog,
+                                      ZmqPeerTransport,
+                                      BackendClient,
+                                      CallerGateway,
+                                      PlatformClient<typename InterfaceType::Protocol>,
+                                      JsonPartCodec,
+                                      typename InterfaceType::Decoder>;
+
+  AdminSources MakeAdminSources()
+  {
+    return { [this] { return node_.Status(); },
+             [this]() -> const Metrics& { return node_.Measures(); },
+             [this] { return transport_.Counters(); },
+             [this](const std::string& aHost,
+                    const std::string& aMethod,
+                    const std::string& aPath,
+                    const std::optional<Digest>& aKeyDigest) {
+               return node_.Explain(aHost, aMethod, aPath, aKeyDigest);
+             } };
+  }
+
+  int Drain()
+  {
+    const auto end = clock_.Now() + settings_.DrainTimeout();
+    node_.BeginDrain();
+    callers_.BeginClosing();
+    StepUntil(end, [this] { return node_.IsIdle(); });
+    // Late requests are still told that they did not run.
+    StepUntil(std::min(end, clock_.Now() + kQuietTime), [] { return false; });
+    callers_.StopAccepting();
+    StepUntil(clock_.Now() + kCloseTime, [] { return false; });
+    const bool idle = node_.IsIdle() && callers_.IsIdle();
+    log_.Write(LogEvent("node_stop").With("idle", idle));
+    log_.Flush();
+    return idle ? 0 : kExitNotDrained;
+  }
+
+  template<class Condition>
+  void StepUntil(TimePoint aEnd, Condition aDone)
+  {
+    while (clock_.Now() < aEnd && !aDone()) {
+      Step(std::min(node_.NextDeadline(), aEnd));
+    }
+  }
+
+  void Step(TimePoint aUntil)
+  {
+    loop_.RunOnce(std::min(aUntil, settingsWatch_.NextDeadline()));
+    node_.OnTimer();
+    if (signals_.TakeReloadRequest() || clock_.Now() >= settingsWatch_.NextDeadline()) {
+      ReloadSettings();
+    }
+    log_.Flush();
+  }
+
+  void ReloadSettings()
+  {
+    const auto reload = settingsWatch_.Check(settings_, clock_.Now());
+    if (!reload) {
+      return;
+    }
+    if (!reload->settings_) {
+      log_.Write(LogEvent("settings_refused", Severity::Warning)
+                   .With("fault", ToString(reload->faults_.front())));
+      return;
+    }
+    const auto needsRestart = !settings_.DiffersOnlyInReloadable(*reload->settings_);
+    log_.Write(LogEvent("settings_reloaded").With("needs_restart", needsRestart));
+    if (!needsRestart) {
+      settings_ = *reload->settings_;
+    }
+  }
+
+  /// Time after the last running request in which others learn that the node leaves.
+  static constexpr std::chrono::milliseconds kQuietTime{ 1500 };
+  /// Time in which the last accepted connections send their request and get its response.
+  static constexpr std::chrono::milliseconds kCloseTime{ 200 };
+  /// Idle time of connections to a backend server that states none.
+  static constexpr std::chrono::milliseconds kBackendIdle{ 4000 };
+  static constexpr std::chrono::milliseconds kPlatformIdle{ 10000 };
+  static constexpr std::size_t kMostPlatformBytes = 16U << 20U;
+  static constexpr std::size_t kMostReadyBytes = 1024;
+  // Room for a whole configuration, which a starting node gets in one message.
+  static constexpr std::size_t kMostMessageBytes = 64U << 20U;
+  static constexpr int kExitNotDrained = 3;
+
+  Settings settings_;
+  std::uint64_t incarnation_;
+  const SystemClock clock_{};
+  SecureRandom random_;
+  LineLog log_{ STDOUT_FILENO };
+  const JsonPartCodec codec_{};
+  const typename InterfaceType::Decoder decoder_;
+  EventLoop loop_;
+  SignalWatch signals_;
+  SettingsWatch settingsWatch_;
+  HttpClient backendHttp_;
+  HttpClient platformHttp_;
+  ZmqPeerTransport transport_;
+  BackendClient backend_;
+  PlatformClient<typename InterfaceType::Protocol> platform_;
+  CallerGateway callers_;
+  Node<Environment> node_;
+  AdminGateway admin_;
+  std::optional<HttpServer> ready_;
 };
 
 } // namespace geraniumpin
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -24,6 +24,11 @@
     "backend_server": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
     "platform": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
     "seeds": { "type": "array", "items": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" } },
+    "interface": { "type": "string", "enum": ["own", "users"] },
+    "platform_is_linearizable": { "type": "boolean" },
+    "ready_address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+    "service": { "type": "string", "maxLength": 63 },
+    "failure_domains": { "type": "array", "items": { "type": "string", "minLength": 1 } },
     "peer_key": { "type": "string", "minLength": 16 },
     "max_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
     "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
@@ -71,6 +76,14 @@
   if (aRoot.contains("peer_listen")) {
     builder.PeerListenAddress(aReader.Read("/peer_listen"));
   }
+  if (aRoot.contains("ready_address")) {
+    builder.ReadyAddress(aReader.Read("/ready_address"));
+  }
+  builder
+    .InterfaceForm(aRoot.value("interface", "own") == "users" ? Interface::Users : Interface::Own)
+    .PlatformIsLinearizable(aRoot.value("platform_is_linearizable", false))
+    .OwnService(aRoot.value("service", std::string()))
+    .FailureDomainNames(aRoot.value("failure_domains", std::vector<std::string>{}));
   std::vector<NodeAddress> seeds;
   if (aRoot.contains("seeds")) {
     for (std::size_t i = 0; i < aRoot.at("seeds").size(); ++i) {
--- a/src/adapters/process/signal_watch.cpp
+++ b/src/adapters/process/signal_watch.cpp
@@ -13,14 +13,17 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   fd_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   PCHECK(fd_ >= 0) << "event=signalfd_failed";
   watch_ = std::make_unique<FdWatch>(aLoop, fd_, [this] {
     signalfd_siginfo info{};
-    if (read(fd_, &info, sizeof info) == sizeof info) {
-      stopRequested_ = true;
+    while (read(fd_, &info, sizeof info) == sizeof info) {
+      const bool reload = info.ssi_signo == SIGHUP;
+      reloadRequested_ = reloadRequested_ || reload;
+      stopRequested_ = stopRequested_ || !reload;
     }
   });
 }
--- a/src/adapters/process/signal_watch.hpp
+++ b/src/adapters/process/signal_watch.hpp
@@ -3,10 +3,11 @@
 #include "event_loop.hpp"
 
 #include <memory>
+#include <utility>
 
 namespace geraniumpin {
 
-/// \brief Notes SIGTERM and SIGINT on the event loop.
+/// \brief Notes SIGTERM, SIGINT and SIGHUP on the event loop.
 class SignalWatch
 {
 public:
@@ -15,11 +16,15 @@
   SignalWatch(const SignalWatch&) = delete;
   SignalWatch& operator=(const SignalWatch&) = delete;
 
+  /// \brief Says whether SIGHUP came since the last call.
+  [[nodiscard]] bool TakeReloadRequest() noexcept { return std::exchange(reloadRequested_, false); }
+
   [[nodiscard]] bool StopRequested() const noexcept { return stopRequested_; }
 
 private:
   int fd_;
   bool stopRequested_ = false;
+  bool reloadRequested_ = false;
   std::unique_ptr<FdWatch> watch_;
 };
 
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -1,6 +1,9 @@
 #include "caller_gateway.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace geraniumpin {
 
@@ -8,36 +11,24 @@
 namespace {
 
 constexpr std::string_view kBearer = "Bearer ";
-constexpr std::string_view kOwnHeaderPrefix = "geraniumpin-";
-
-bool
-IsCredential(std::string_view aName) noexcept
-{
-  return aName == "authorization" || aName == "x-api-key" || aName == "cookie";
-}
-
-HeaderFields
-PassedOn(const HeaderFields& aHeaders)
-{
-  HeaderFields kept;
-  for (const auto& field : aHeaders) {
-    const bool own = field.name_.starts_with(kOwnHeaderPrefix);
-    if (!own && !IsCredential(field.name_) && !IsHopByHop(field.name_)) {
-      kept.push_back(field);
-    }
-  }
-  return kept;
-}
 
 std::chrono::milliseconds
-TimeoutOf(const HeaderFields& aHeaders) noexcept
+MillisecondsOf(std::string_view aText) noexcept
 {
-  const auto text = FindHeader(aHeaders, "geraniumpin-timeout-ms");
   std::uint32_t milliseconds = 0;
-  std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  std::from_chars(aText.data(), aText.data() + aText.size(), milliseconds);
   return std::chrono::milliseconds(milliseconds);
 }
 
+std::string
+Seconds(Duration aDuration)
+{
+  std::array<char, 32> buffer{};
+  const double seconds = std::chrono::duration<double>(aDuration).count();
+  const int length = std::snprintf(buffer.data(), buffer.size(), "%.3f", seconds);
+  return { buffer.data(), static_cast<std::size_t>(length) };
+}
+
 } // namespace
 } // namespace impl
 
@@ -71,21 +62,25 @@
 }
 
 std::string
-KeyOf(const HeaderFields& aHeaders)
+KeyOf(const HeaderFields& aHeaders, const HeaderNames& aNames)
 {
   const auto authorization = FindHeader(aHeaders, "authorization");
-  if (authorization.starts_with(impl::kBearer)) {
+  if (aNames.acceptsBearerKey_ && authorization.starts_with(impl::kBearer)) {
     return std::string(authorization.substr(impl::kBearer.size()));
   }
-  return std::string(FindHeader(aHeaders, "x-api-key"));
+  return std::string(FindHeader(aHeaders, aNames.key_));
 }
 
 CallerGateway::CallerGateway(EventLoop& aLoop,
                              const NodeAddress& aAddress,
                              std::size_t aMostBodyBytes,
                              std::uint64_t aIncarnation,
+                             HeaderNames aNames,
+                             std::string aOwnService,
                              CallerEvents aEvents)
-  : mostBodyBytes_(aMostBodyBytes)
+  : names_(std::move(aNames))
+  , ownService_(std::move(aOwnService))
+  , mostBodyBytes_(aMostBodyBytes)
   , incarnation_(aIncarnation)
   , events_(std::move(aEvents))
   , server_(aLoop,
@@ -93,39 +88,79 @@
             aMostBodyBytes,
             { [this](ExchangeId aId, const HttpRequest& aRequest) { OnRequest(aId, aRequest); },
               [this](ExchangeId aId) {
+                requestIds_.erase(aId);
                 events_.onGone_({ incarnation_, aId });
               } })
 {
 }
 
+/// What the node sets itself is not taken from callers, nor do backend servers see credentials.
+HeaderFields
+CallerGateway::PassedOn(const HeaderFields& aHeaders) const
+{
+  const auto isSetHere = [&](const std::string& aName) {
+    return aName == names_.callerTimeout_ || aName == names_.remainingTime_ ||
+           aName == names_.key_ || aName == names_.callToken_ || aName == names_.team_ ||
+           aName == names_.callerService_ || aName == names_.expectedInstance_;
+  };
+  HeaderFields kept;
+  for (const auto& field : aHeaders) {
+    const auto& credentials = names_.credentials_;
+    const bool isCredential =
+      std::find(credentials.begin(), credentials.end(), field.name_) != credentials.end();
+    if (!isCredential && !isSetHere(field.name_) && !IsHopByHop(field.name_)) {
+      kept.push_back(field);
+    }
+  }
+  if (!names_.callerService_.empty() && !ownService_.empty()) {
+    kept.push_back({ names_.callerService_, ownService_ });
+  }
+  return kept;
+}
+
 void
 CallerGateway::OnRequest(ExchangeId aId, const HttpRequest& aRequest)
 {
   const CallId id{ incarnation_, aId };
+  const auto& headers = aRequest.headers_;
+  auto requestId = std::string(FindHeader(headers, names_.requestId_));
+  requestIds_.emplace(aId, requestId);
   if (aRequest.body_->size() > mostBodyBytes_) {
     Reply(id, Answer::Refused(Outcome::NotRun, Reason::BodyTooLarge));
     return;
   }
-  const auto& headers = aRequest.headers_;
+  const auto field = [&](const std::string& aName) {
+    return aName.empty() ? std::string() : std::string(FindHeader(headers, aName));
+  };
   events_.onCall_({ .id_ = id,
+                    .requestId_ = std::move(requestId),
                     .method_ = aRequest.method_,
+                    .host_ = aRequest.host_,
                     .path_ = aRequest.path_,
-                    .headers_ = impl::PassedOn(headers),
+                    .headers_ = PassedOn(headers),
                     .body_ = aRequest.body_,
-                    .key_ = KeyOf(headers),
-                    .callToken_ = std::string(FindHeader(headers, "geraniumpin-call-token")),
-                    .idempotencyKey_ = std::string(FindHeader(headers, "idempotency-key")),
+                    .key_ = KeyOf(headers, names_),
+                    .callToken_ = field(names_.callToken_),
+                    .idempotencyKey_ = field(names_.idempotencyKey_),
                     .arrivedAt_ = clock_.Now(),
-                    .timeout_ = impl::TimeoutOf(headers) });
+                    .timeout_ = impl::MillisecondsOf(field(names_.callerTimeout_)) });
 }
 
 void
 CallerGateway::Reply(const CallId& aId, const Answer& aAnswer)
 {
   auto headers = aAnswer.headers_;
-  headers.push_back({ "geraniumpin-outcome", std::string(ToString(aAnswer.outcome_)) });
+  const auto requestId = requestIds_.extract(aId.sequence_);
+  const bool echoes = !requestId.empty() && !requestId.mapped().empty();
+  if (echoes && FindHeader(headers, names_.requestId_).empty()) {
+    headers.push_back({ names_.requestId_, requestId.mapped() });
+  }
+  headers.push_back({ names_.outcome_, std::string(ToString(aAnswer.outcome_)) });
   if (aAnswer.reason_ != Reason::None) {
-    headers.push_back({ "geraniumpin-reason", std::string(ToString(aAnswer.reason_)) });
+    headers.push_back({ names_.reason_, std::string(ToString(aAnswer.reason_)) });
+  }
+  if (aAnswer.retryAfter_ > Duration{}) {
+    headers.push_back({ "retry-after", impl::Seconds(aAnswer.retryAfter_) });
   }
   server_.Respond(
     aId.sequence_,
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -3,6 +3,7 @@
 #include "../connection/http_server.hpp"
 #include "../process/system_clock.hpp"
 #include "geraniumpin/request/call.hpp"
+#include "header_names.hpp"
 
 #include <functional>
 #include <map>
@@ -19,8 +20,8 @@
 
 /// \brief Turns callers' HTTP requests into calls and answers into responses; satisfies CallerPort.
 ///
-/// The key comes in "authorization: Bearer KEY" or in "x-api-key"; neither is passed on. Each
-/// response names the outcome in "geraniumpin-outcome" and the reason in "geraniumpin-reason".
+/// HeaderNames says which header fields carry the key and the caller's timeout, and which name the
+/// outcome and its reason in a response. Keys are not passed on.
 class CallerGateway
 {
 public:
@@ -28,6 +29,8 @@
                 const NodeAddress& aAddress,
                 std::size_t aMostBodyBytes,
                 std::uint64_t aIncarnation,
+                HeaderNames aNames,
+                std::string aOwnService,
                 CallerEvents aEvents);
 
   void Reply(const CallId& aId, const Answer& aAnswer);
@@ -43,8 +46,12 @@
 
 private:
   void OnRequest(ExchangeId aId, const HttpRequest& aRequest);
+  [[nodiscard]] HeaderFields PassedOn(const HeaderFields& aHeaders) const;
 
   SystemClock clock_;
+  HeaderNames names_;
+  std::string ownService_;
+  std::map<ExchangeId, std::string> requestIds_; ///< of the calls that wait for their answer
   std::size_t mostBodyBytes_;
   std::uint64_t incarnation_;
   CallerEvents events_;
@@ -57,6 +64,6 @@
 
 /// \brief Reads the key that a caller showed; empty if there is none.
 [[nodiscard]] std::string
-KeyOf(const HeaderFields& aHeaders);
+KeyOf(const HeaderFields& aHeaders, const HeaderNames& aNames);
 
 } // namespace geraniumpin
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -11,6 +11,7 @@
 struct HttpRequest
 {
   const std::string method_;
+  const std::string host_; ///< empty: not named, or the server's address when sending
   const std::string path_; ///< with the query
   const HeaderFields headers_;
   const Body body_;
--- a/src/adapters/version/document_json.cpp
+++ b/src/adapters/version/document_json.cpp
@@ -19,7 +19,8 @@
 struct Schemas
 {
   JsonSchema document_{ kDocumentSchema };
-  JsonSchema failureDomains_ = ForPart({ "failure_domains", "cut_off_keyed_service_s" });
+  JsonSchema failureDomains_ =
+    ForPart({ "failure_domains", "cut_off_keyed_service_s", "caller_limits", "document_number" });
   JsonSchema routes_ = ForPart({ "routes" });
   JsonSchema teams_ = ForPart({ "teams" });
   JsonSchema keys_ = ForPart({ "keys" });
@@ -63,6 +64,19 @@
   return aPartName.starts_with(part_name::kServicePrefix) ? &schemas.service_ : nullptr;
 }
 
+CallerLimits
+CallerLimitsOf(const json& aRoot)
+{
+  const auto limits = aRoot.value("caller_limits", json::object());
+  const CallerLimits defaults;
+  return { .mostHeaderBytes_ = limits.value("header_bytes", defaults.mostHeaderBytes_),
+           .mostBodyBytes_ = limits.value("body_bytes", defaults.mostBodyBytes_),
+           .headerTimeout_ = std::chrono::milliseconds(
+             limits.value("header_timeout_ms", defaults.headerTimeout_.count())),
+           .idleTimeout_ = std::chrono::milliseconds(
+             limits.value("idle_timeout_ms", defaults.idleTimeout_.count())) };
+}
+
 FailureDomainsPart
 FailureDomainsOf(const json& aRoot)
 {
@@ -72,7 +86,11 @@
   }
   const std::chrono::seconds cutOff(
     aRoot.value("cut_off_keyed_service_s", FailureDomainsPart{}.cutOffKeyedService_.count()));
-  return { .failureDomains_ = std::move(domains), .cutOffKeyedService_ = cutOff };
+  const auto number = aRoot.value("version", aRoot.value("document_number", std::uint64_t{ 0 }));
+  return { .documentNumber_ = number,
+           .failureDomains_ = std::move(domains),
+           .cutOffKeyedService_ = cutOff,
+           .callerLimits_ = CallerLimitsOf(aRoot) };
 }
 
 Service
@@ -83,26 +101,51 @@
     backendServers.push_back(
       { .name_ = item.at("name"),
         .failureDomain_ = item.at("failure_domain"),
-        .node_ = NodeAddress::Parse(item.at("node").get<std::string>()).value_or(NodeAddress{}) });
+        .node_ = NodeAddress::Parse(item.at("node").get<std::string>()).value_or(NodeAddress{}),
+        .state_ = item.value("draining", false) ? InstanceState::Draining : InstanceState::Ready,
+        .cold_ = item.value("cold", false),
+        .slots_ = item.value("slots", 0U),
+        .startedAt_ = item.value("started_at_ms", std::uint64_t{ 0 }) });
   }
   return { .name_ = aItem.at("name"),
            .slots_ = aItem.at("slots"),
            .connections_ = aItem.at("connections"),
+           .coldRatePerSecond_ = aItem.value("cold_rate_per_s", 0.0),
+           .coldTime_ = std::chrono::milliseconds(aItem.value("cold_time_ms", 0)),
+           .healthPath_ = aItem.value("health_path", std::string()),
            .backendServers_ = std::move(backendServers) };
 }
 
+std::vector<Destination>
+DestinationsOf(const json& aRoute)
+{
+  if (aRoute.contains("service")) {
+    return { { .service_ = aRoute.at("service") } };
+  }
+  std::vector<Destination> destinations;
+  for (const auto& item : aRoute.at("destinations")) {
+    destinations.push_back({ .service_ = item.at("service"), .weight_ = item.at("weight") });
+  }
+  return destinations;
+}
+
 RoutesPart
 RoutesOf(const json& aRoot)
 {
   std::vector<Route> routes;
   for (const auto& item : aRoot.at("routes")) {
-    routes.push_back({ .name_ = item.at("name"),
-                       .pathPrefix_ = item.at("path_prefix"),
-                       .methods_ = item.at("methods"),
-                       .service_ = item.at("service"),
-                       .access_ = item.at("access") == "open" ? Access::Open : Access::Keyed,
-                       .idempotent_ = item.at("idempotent"),
-                       .timeout_ = std::chrono::milliseconds(item.at("timeout_ms")) });
+    routes.push_back(
+      { .name_ = item.at("name"),
+        .host_ = item.value("host", std::string()),
+        .pathPrefix_ = item.at("path_prefix"),
+        .methods_ = item.value("methods", std::vector<std::string>{}),
+        .destinations_ = DestinationsOf(item),
+        .access_ = item.at("access") == "open" ? Access::Open : Access::Keyed,
+        .idempotent_ = item.at("idempotent"),
+        .timeout_ = std::chrono::milliseconds(item.at("timeout_ms")),
+        .targetLatency_ = std::chrono::milliseconds(item.value("target_latency_ms", 0)),
+        .attempts_ = item.value("attempts", kDefaultAttempts),
+        .priority_ = item.value("priority", 0U) });
   }
   return { std::move(routes) };
 }
@@ -114,11 +157,100 @@
   for (const auto& item : aRoot.at("teams")) {
     teams.push_back({ .name_ = item.at("name"),
                       .ratePerSecond_ = item.at("rate_per_s"),
-                      .burst_ = item.at("burst") });
+                      .burst_ = item.at("burst"),
+                      .priority_ = item.value("priority", 0U) });
   }
   return { std::move(teams) };
 }
 
+json
+Encode(const FailureDomainsPart& aPart)
+{
+  json domains = json::array();
+  for (const auto& domain : aPart.failureDomains_) {
+    domains.push_back({ { "name", domain.name_ }, { "in_service", domain.inService_ } });
+  }
+  const auto& limits = aPart.callerLimits_;
+  return { { "document_number", aPart.documentNumber_ },
+           { "failure_domains", domains },
+           { "cut_off_keyed_service_s", aPart.cutOffKeyedService_.count() },
+           { "caller_limits",
+             { { "header_bytes", limits.mostHeaderBytes_ },
+               { "body_bytes", limits.mostBodyBytes_ },
+               { "header_timeout_ms", limits.headerTimeout_.count() },
+               { "idle_timeout_ms", limits.idleTimeout_.count() } } } };
+}
+
+json
+Encode(const Service& aService)
+{
+  json backendServers = json::array();
+  for (const auto& server : aService.backendServers_) {
+    backendServers.push_back({ { "name", server.name_ },
+                               { "failure_domain", server.failureDomain_ },
+                               { "node", server.node_.Text() },
+                               { "draining", server.state_ == InstanceState::Draining },
+                               { "cold", server.cold_ },
+                               { "slots", server.slots_ },
+                               { "started_at_ms", server.startedAt_ } });
+  }
+  return { { "name", aService.name_ },
+           { "slots", aService.slots_ },
+           { "connections", aService.connections_ },
+           { "cold_rate_per_s", aService.coldRatePerSecond_ },
+           { "cold_time_ms", aService.coldTime_.count() },
+           { "health_path", aService.healthPath_ },
+           { "backend_servers", backendServers } };
+}
+
+json
+Encode(const RoutesPart& aPart)
+{
+  json routes = json::array();
+  for (const auto& route : aPart.routes_) {
+    json destinations = json::array();
+    for (const auto& destination : route.destinations_) {
+      destinations.push_back(
+        { { "service", destination.service_ }, { "weight", destination.weight_ } });
+    }
+    routes.push_back({ { "name", route.name_ },
+                       { "host", route.host_ },
+                       { "path_prefix", route.pathPrefix_ },
+                       { "methods", route.methods_ },
+                       { "destinations", destinations },
+                       { "access", route.access_ == Access::Open ? "open" : "keyed" },
+                       { "idempotent", route.idempotent_ },
+                       { "timeout_ms", route.timeout_.count() },
+                       { "target_latency_ms", route.targetLatency_.count() },
+                       { "attempts", route.attempts_ },
+                       { "priority", route.priority_ } });
+  }
+  return { { "routes", routes } };
+}
+
+json
+Encode(const TeamsPart& aPart)
+{
+  json teams = json::array();
+  for (const auto& team : aPart.teams_) {
+    teams.push_back({ { "name", team.name_ },
+                      { "rate_per_s", team.ratePerSecond_ },
+                      { "burst", team.burst_ },
+                      { "priority", team.priority_ } });
+  }
+  return { { "teams", teams } };
+}
+
+json
+Encode(const KeysPart& aPart)
+{
+  json keys = json::array();
+  for (const auto& key : aPart.keys_) {
+    keys.push_back({ { "sha256", key.digest_.Hex() }, { "team", key.team_ } });
+  }
+  return { { "keys", keys } };
+}
+
 KeysPart
 KeysOf(const json& aRoot)
 {
@@ -148,6 +280,17 @@
   return ServiceOf(aRoot);
 }
 
+tl::expected<std::optional<Published>, Faults>
+VmListOf(std::string_view aText)
+{
+  const auto list = ParseVmList(aText);
+  if (!list) {
+    return tl::make_unexpected(
+      Faults{ { std::string(JsonItemDecoder::kVmListKey), "", {}, "expected a list of VMs", "" } });
+  }
+  return std::optional<Published>(*list);
+}
+
 /// Checks what a schema cannot: that the node addresses are IP numbers with a port.
 Faults
 CheckAddresses(const JsonText& aText, const json& aService, const std::string& aPath)
@@ -208,8 +351,11 @@
   std::map<std::string, json> parts;
   auto& domains = parts[std::string(part_name::kFailureDomains)];
   domains["failure_domains"] = aDocument.at("failure_domains");
-  if (aDocument.contains("cut_off_keyed_service_s")) {
-    domains["cut_off_keyed_service_s"] = aDocument.at("cut_off_keyed_service_s");
+  domains["document_number"] = aDocument.at("version");
+  for (const auto* name : { "cut_off_keyed_service_s", "caller_limits" }) {
+    if (aDocument.contains(name)) {
+      domains[name] = aDocument.at(name);
+    }
   }
   parts[std::string(part_name::kRoutes)]["routes"] = aDocument.at("routes");
   parts[std::string(part_name::kTeams)]["teams"] = aDocument.at("teams");
@@ -291,6 +437,67 @@
   return std::make_shared<const PartValue>(impl::ValueOf(aName, text->Root()));
 }
 
+std::string
+JsonPartCodec::Encode(const PartValue& aPart) const
+{
+  return std::visit([](const auto& aValue) { return impl::Encode(aValue).dump(); }, aPart);
+}
+
+std::optional<VmList>
+ParseVmList(std::string_view aText)
+{
+  const auto root = nlohmann::json::parse(aText, nullptr, false);
+  if (!root.is_object() || !root.value("vms", nlohmann::json()).is_array()) {
+    return std::nullopt;
+  }
+  VmList list;
+  for (const auto& item : root.at("vms")) {
+    const auto node = NodeAddress::Parse(item.value("node", std::string()));
+    if (!node) {
+      return std::nullopt;
+    }
+    const auto admin = NodeAddress::Parse(item.value("admin", std::string()));
+    list.vms_.push_back({ .node_ = *node,
+                          .admin_ = admin.value_or(NodeAddress{}),
+                          .failureDomain_ = item.value("failure_domain", std::string()),
+                          .leaving_ = item.value("state", std::string("live")) == "leaving" });
+  }
+  return list;
+}
+
+tl::expected<std::optional<Published>, Faults>
+JsonItemDecoder::Decode(std::string_view aKey, std::string_view aText) const
+{
+  if (aKey == kVmListKey) {
+    return impl::VmListOf(aText);
+  }
+  if (aKey != kDocumentKey) {
+    return std::optional<Published>();
+  }
+  const auto text = JsonText::Parse(std::string(aKey), aText);
+  if (!text) {
+    return tl::make_unexpected(text.error());
+  }
+  auto faults = text->Check(impl::AllSchemas().document_);
+  if (faults.empty()) {
+    faults = impl::CheckServiceNames(*text);
+  }
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  const auto& root = text->Root();
+  std::vector<Service> services;
+  for (const auto& service : root.at("services")) {
+    services.push_back(impl::ServiceOf(service));
+  }
+  return std::optional<Published>(
+    PublishedDocument{ .failureDomains_ = impl::FailureDomainsOf(root),
+                       .routes_ = impl::RoutesOf(root),
+                       .services_ = std::move(services),
+                       .teams_ = impl::TeamsOf(root),
+                       .keys_ = impl::KeysOf(root) });
+}
+
 tl::expected<EncodedDocument, Faults>
 EncodeDocument(const std::string& aSource, std::string_view aText)
 {
@@ -317,7 +524,9 @@
   if (!faults.empty()) {
     return tl::make_unexpected(std::move(faults));
   }
-  return EncodedDocument{ .manifest_ = manifest, .parts_ = std::move(parts) };
+  return EncodedDocument{ .manifest_ = manifest,
+                          .parts_ = std::move(parts),
+                          .text_ = std::string(aText) };
 }
 
 } // namespace geraniumpin
--- a/src/adapters/version/document_json.hpp
+++ b/src/adapters/version/document_json.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/version/document.hpp"
 #include "geraniumpin/version/fault.hpp"
 #include "geraniumpin/version/manifest.hpp"
+#include "geraniumpin/version/published.hpp"
 #include "geraniumpin/version/snapshot.hpp"
 #include "geraniumpin/version/version_store.hpp"
 
@@ -20,13 +21,35 @@
   /// \brief Checks the text against the schema of its kind of part and decodes it.
   [[nodiscard]] tl::expected<SharedPart, Faults> Decode(std::string_view aName,
                                                         std::string_view aText) const;
+
+  /// \brief Encodes a part; equal parts have equal texts.
+  [[nodiscard]] std::string Encode(const PartValue& aPart) const;
+};
+
+/// \brief Decodes the items of the project's own published form; satisfies ItemDecoder.
+///
+/// The whole document is one item, in the format that operators write.
+class JsonItemDecoder
+{
+public:
+  static constexpr std::string_view kDocumentKey = "document";
+  static constexpr std::string_view kVmListKey = "vms";
+
+  [[nodiscard]] tl::expected<std::optional<Published>, Faults> Decode(std::string_view aKey,
+                                                                      std::string_view aText) const;
 };
 
+/// \brief Decodes a list of VMs: {"vms": [{"node", "admin", "failure_domain", "state"}]}.
+/// \returns Nothing if the text is malformed.
+[[nodiscard]] std::optional<VmList>
+ParseVmList(std::string_view aText);
+
 /// \brief The encoded parts of one document.
 struct EncodedDocument
 {
   const Manifest manifest_;
   const std::map<std::string, SharedBytes> parts_;
+  const std::string text_; ///< as the operator wrote it
 };
 
 /// \brief Splits an operator's document into parts, after checking it whole.
--- a/src/adapters/version/document_schema.hpp
+++ b/src/adapters/version/document_schema.hpp
@@ -12,6 +12,16 @@
   "properties": {
     "version": { "type": "integer", "minimum": 1 },
     "cut_off_keyed_service_s": { "type": "integer", "minimum": 0, "maximum": 86400 },
+    "caller_limits": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "header_bytes": { "type": "integer", "minimum": 256 },
+        "body_bytes": { "type": "integer", "minimum": 0 },
+        "header_timeout_ms": { "type": "integer", "minimum": 1 },
+        "idle_timeout_ms": { "type": "integer", "minimum": 1 }
+      }
+    },
+    "document_number": { "type": "integer", "minimum": 0 },
     "failure_domains": {
       "type": "array", "minItems": 1,
       "items": {
@@ -31,6 +41,9 @@
           "name": { "type": "string", "pattern": "^[a-z0-9][a-z0-9_.-]{0,62}$" },
           "slots": { "type": "integer", "minimum": 1, "maximum": 100000 },
           "connections": { "type": "integer", "minimum": 1, "maximum": 100000 },
+          "cold_rate_per_s": { "type": "number", "minimum": 0, "maximum": 1000000 },
+          "cold_time_ms": { "type": "integer", "minimum": 0, "maximum": 86400000 },
+          "health_path": { "type": "string", "pattern": "^(/.*)?$" },
           "backend_servers": {
             "type": "array",
             "items": {
@@ -39,7 +52,11 @@
               "properties": {
                 "name": { "type": "string", "minLength": 1, "maxLength": 63 },
                 "failure_domain": { "type": "string" },
-                "node": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" }
+                "node": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+                "draining": { "type": "boolean" },
+                "cold": { "type": "boolean" },
+                "slots": { "type": "integer", "minimum": 0, "maximum": 100000 },
+                "started_at_ms": { "type": "integer", "minimum": 0 }
               }
             }
           }
@@ -50,14 +67,28 @@
       "type": "array",
       "items": {
         "type": "object", "additionalProperties": false,
-        "required": ["name", "path_prefix", "methods", "service", "access", "idempotent",
-                     "timeout_ms"],
+        "required": ["name", "path_prefix", "access", "idempotent", "timeout_ms"],
+        "oneOf": [ { "required": ["service"] }, { "required": ["destinations"] } ],
         "properties": {
           "name": { "type": "string", "minLength": 1, "maxLength": 63 },
           "path_prefix": { "type": "string", "pattern": "^/" },
-          "methods": { "type": "array", "minItems": 1,
+          "host": { "type": "string", "maxLength": 253 },
+          "methods": { "type": "array",
                        "items": { "type": "string", "pattern": "^[A-Z]+$" } },
           "service": { "type": "string" },
+          "destinations": {
+            "type": "array", "minItems": 1,
+            "items": {
+              "type": "object", "additionalProperties": false, "required": ["service", "weight"],
+              "properties": {
+                "service": { "type": "string" },
+                "weight": { "type": "integer", "minimum": 0, "maximum": 1000000 }
+              }
+            }
+          },
+          "target_latency_ms": { "type": "integer", "minimum": 0, "maximum": 600000 },
+          "attempts": { "type": "integer", "minimum": 1, "maximum": 100 },
+          "priority": { "type": "integer", "minimum": 0, "maximum": 1000 },
           "access": { "type": "string", "enum": ["open", "keyed"] },
           "idempotent": { "type": "boolean" },
           "timeout_ms": { "type": "integer", "minimum": 1, "maximum": 600000 }
@@ -71,8 +102,9 @@
         "required": ["name", "rate_per_s", "burst"],
         "properties": {
           "name": { "type": "string", "pattern": "^[a-z0-9][a-z0-9_.-]{0,62}$" },
-          "rate_per_s": { "type": "number", "exclusiveMinimum": 0, "maximum": 10000000 },
-          "burst": { "type": "integer", "minimum": 1, "maximum": 10000000 }
+          "rate_per_s": { "type": "number", "minimum": 0, "maximum": 10000000 },
+          "burst": { "type": "number", "minimum": 0, "maximum": 10000000 },
+          "priority": { "type": "integer", "minimum": 0, "maximum": 1000 }
         }
       }
     },
--- a/src/process/concurrency_controller.cpp
+++ b/src/process/concurrency_controller.cpp
@@ -87,6 +87,38 @@
   decreasedAt_ = aNow;
 }
 
+SlotController
+SlotController::After(const WorkSample& aSample) const noexcept
+{
+  auto next = *this;
+  if (aSample.result_ == WorkResult::Ignored) {
+    return next;
+  }
+  if (aSample.result_ == WorkResult::Shed) {
+    const bool staleSignal = aSample.startedAt_ < changedAt_;
+    if (!staleSignal) {
+      next.limit_ = impl::Clamped(limit_ * kShedFactor, ceiling_);
+      next.changedAt_ = aSample.endedAt_;
+    }
+    return next;
+  }
+  if (limit_ < ceiling_ && aSample.endedAt_ - changedAt_ >= kGrowthPeriod) {
+    next.limit_ = impl::Clamped(limit_ + 1, ceiling_);
+    next.changedAt_ = aSample.endedAt_;
+  }
+  return next;
+}
+
+SlotController
+SlotController::WithCeiling(std::uint32_t aMost) const noexcept
+{
+  auto next = *this;
+  const bool atCeiling = limit_ >= ceiling_;
+  next.ceiling_ = aMost;
+  next.limit_ = impl::Clamped(atCeiling ? next.ceiling_ : limit_, next.ceiling_);
+  return next;
+}
+
 GradientController
 GradientController::After(const WorkSample& aSample) const noexcept
 {
--- a/src/process/instance_hints.cpp
+++ b/src/process/instance_hints.cpp
@@ -33,7 +33,7 @@
 
 std::vector<Candidate>
 InstanceHints::Candidates(const Snapshot& aSnapshot,
-                          const Service& aService,
+                          const std::string& aService,
                           const Membership& aMembers,
                           const std::string& aFailureDomain,
                           const std::set<NodeAddress>& aTried,
@@ -41,9 +41,14 @@
 {
   std::vector<Candidate> preferred;
   std::vector<Candidate> avoided;
-  for (const auto& backendServer : aService.backendServers_) {
+  const auto* service = aSnapshot.FindService(aService);
+  if (service == nullptr) {
+    return {};
+  }
+  for (const auto& backendServer : service->backendServers_) {
     const auto* failureDomain = aSnapshot.FindFailureDomain(backendServer.failureDomain_);
-    if (!failureDomain->inService_ || aTried.contains(backendServer.node_)) {
+    if (!failureDomain->inService_ || backendServer.state_ != InstanceState::Ready ||
+        aTried.contains(backendServer.node_)) {
       continue;
     }
     const auto hint = HintOf(backendServer.node_, aNow);
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -139,6 +139,19 @@
   list_ = aList;
 }
 
+void
+Membership::OnListed(const std::vector<NodeAddress>& aNodes, TimePoint aNow)
+{
+  const std::set<NodeAddress> listed(aNodes.begin(), aNodes.end());
+  for (const auto& node : listed_) {
+    if (!listed.contains(node)) {
+      absentSince_.emplace(node, aNow);
+    }
+  }
+  std::erase_if(absentSince_, [&](const auto& aEntry) { return listed.contains(aEntry.first); });
+  listed_ = listed;
+}
+
 void
 Membership::BeginLeaving()
 {
@@ -206,12 +219,14 @@
 }
 
 bool
-Membership::IsGone(const NodeAddress& aNode) const
+Membership::IsGone(const NodeAddress& aNode, TimePoint aNow) const
 {
-  return list_.revision_ > 0 &&
-         std::none_of(list_.vms_.begin(), list_.vms_.end(), [&](const ListedVm& aVm) {
-           return aVm.node_ == aNode;
-         });
+  if (list_.revision_ == 0) {
+    const auto absent = absentSince_.find(aNode);
+    return absent != absentSince_.end() && aNow - absent->second >= kAbsenceOfGone;
+  }
+  return std::none_of(
+    list_.vms_.begin(), list_.vms_.end(), [&](const ListedVm& aVm) { return aVm.node_ == aNode; });
 }
 
 TimePoint
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -24,6 +24,14 @@
 } // namespace
 } // namespace impl
 
+bool
+Settings::DiffersOnlyInReloadable(const Settings& aOther) const
+{
+  auto same = *this;
+  same.drainTimeout_ = aOther.drainTimeout_;
+  return same == aOther;
+}
+
 SettingsBuilder&
 SettingsBuilder::PeerAddress(NodeAddress aAddress)
 {
@@ -73,6 +81,41 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::InterfaceForm(Interface aInterface)
+{
+  settings_.interface_ = aInterface;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::PlatformIsLinearizable(bool aIs)
+{
+  settings_.platformIsLinearizable_ = aIs;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::ReadyAddress(NodeAddress aAddress)
+{
+  settings_.ready_ = std::move(aAddress);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::OwnService(std::string aName)
+{
+  settings_.ownService_ = std::move(aName);
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::FailureDomainNames(std::vector<std::string> aNames)
+{
+  settings_.failureDomains_ = std::move(aNames);
+  return *this;
+}
+
 SettingsBuilder&
 SettingsBuilder::Seeds(std::vector<NodeAddress> aSeeds)
 {
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -11,21 +11,18 @@
 EndsTheRequest(Reason aReason) noexcept
 {
   return aReason == Reason::Cancelled || aReason == Reason::KeyUnknown ||
-         aReason == Reason::DuplicateInFlight || aReason == Reason::DeadlinePassed;
+         aReason == Reason::DuplicateInFlight;
 }
 
-/// A node refused before its backend server was involved, so a repetition burdens none.
+} // namespace
+} // namespace impl
+
 bool
-SparesTheBackendServer(Reason aReason) noexcept
+MayHaveReachedInstance(Outcome aOutcome, Reason aReason) noexcept
 {
-  return aReason == Reason::WrongNode || aReason == Reason::VersionBehind ||
-         aReason == Reason::NotReady || aReason == Reason::Draining ||
-         aReason == Reason::OutOfService;
+  return aOutcome != Outcome::NotRun || aReason == Reason::Shed;
 }
 
-} // namespace
-} // namespace impl
-
 RetryBudget
 RetryBudget::AfterSuccess() const noexcept
 {
@@ -49,8 +46,15 @@
     return false;
   }
   const bool safe = aFacts.outcome_ == Outcome::NotRun || aFacts.idempotent_;
+  const bool busy =
+    aFacts.reason_ == Reason::Overloaded || aFacts.reason_ == Reason::DeadlinePassed;
+  if (busy && aFacts.attempts_ >= kMostBusyOwners) {
+    return false;
+  }
+  // A repetition of what no instance has seen burdens none.
+  const bool reached = MayHaveReachedInstance(aFacts.outcome_, aFacts.reason_);
   return safe && aFacts.beforeDeadline_ && aFacts.attempts_ < kMostAttempts &&
-         (aBudget.AllowsRetry() || impl::SparesTheBackendServer(aFacts.reason_));
+         aFacts.sends_ < aFacts.mostSends_ && (!reached || aBudget.AllowsRetry());
 }
 
 } // namespace geraniumpin
--- a/src/request/route_decision.cpp
+++ b/src/request/route_decision.cpp
@@ -1,9 +1,23 @@
 #include "geraniumpin/request/route_decision.hpp"
 
+#include <algorithm>
+#include <cctype>
+
 namespace geraniumpin {
 
+std::string
+NormalHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return host;
+}
+
 tl::expected<RouteDecision, Reason>
 DecideRoute(const SharedSnapshot& aSnapshot,
+            std::string_view aHost,
             std::string_view aMethod,
             std::string_view aPath,
             const std::optional<Digest>& aKeyDigest,
@@ -12,13 +26,12 @@
   if (!aSnapshot) {
     return tl::make_unexpected(Reason::NotReady);
   }
-  const auto* route = aSnapshot->FindRoute(aMethod, aPath);
+  const auto* route = aSnapshot->FindRoute(NormalHost(aHost), aMethod, aPath);
   if (route == nullptr) {
     return tl::make_unexpected(Reason::NoRoute);
   }
-  const auto& service = *aSnapshot->FindService(route->service_);
   if (route->access_ == Access::Open) {
-    return RouteDecision{ aSnapshot, *route, service, {}, {} };
+    return RouteDecision{ aSnapshot, *route, {}, {} };
   }
   if (!aKeyDigest) {
     return tl::make_unexpected(Reason::KeyMissing);
@@ -30,7 +43,7 @@
   if (key == nullptr) {
     return tl::make_unexpected(Reason::KeyUnknown);
   }
-  return RouteDecision{ aSnapshot, *route, service, key->team_, key->digest_ };
+  return RouteDecision{ aSnapshot, *route, key->team_, key->digest_ };
 }
 
 } // namespace geraniumpin
--- a/src/version/snapshot.cpp
+++ b/src/version/snapshot.cpp
@@ -29,8 +29,24 @@
 bool
 Allows(const Route& aRoute, std::string_view aMethod) noexcept
 {
-  return std::find(aRoute.methods_.begin(), aRoute.methods_.end(), aMethod) !=
-         aRoute.methods_.end();
+  return aRoute.methods_.empty() ||
+         std::find(aRoute.methods_.begin(), aRoute.methods_.end(), aMethod) !=
+           aRoute.methods_.end();
+}
+
+const Route*
+LongestMatch(const std::vector<const Route*>& aRoutes,
+             std::string_view aMethod,
+             std::string_view aPath) noexcept
+{
+  const Route* best = nullptr;
+  for (const auto* route : aRoutes) {
+    const bool matches = aPath.starts_with(route->pathPrefix_) && Allows(*route, aMethod);
+    if (matches && (best == nullptr || route->pathPrefix_.size() > best->pathPrefix_.size())) {
+      best = route;
+    }
+  }
+  return best;
 }
 
 const Service*
@@ -48,19 +64,26 @@
   , parts_(std::move(aParts))
   , nodes_(std::move(aNodes))
 {
+  for (const auto& route : Routes()) {
+    routesByHost_[route.host_].push_back(&route);
+  }
 }
 
 const Route*
-Snapshot::FindRoute(std::string_view aMethod, std::string_view aPath) const noexcept
+Snapshot::FindRoute(std::string_view aHost,
+                    std::string_view aMethod,
+                    std::string_view aPath) const noexcept
 {
-  const Route* best = nullptr;
-  for (const auto& route : Routes()) {
-    const bool matches = aPath.starts_with(route.pathPrefix_) && impl::Allows(route, aMethod);
-    if (matches && (best == nullptr || route.pathPrefix_.size() > best->pathPrefix_.size())) {
-      best = &route;
+  for (const auto host : { aHost, std::string_view{} }) {
+    const auto routes = routesByHost_.find(host);
+    if (routes == routesByHost_.end()) {
+      continue;
+    }
+    if (const auto* route = impl::LongestMatch(routes->second, aMethod, aPath)) {
+      return route;
     }
   }
-  return best;
+  return nullptr;
 }
 
 const Key*
@@ -153,6 +176,29 @@
     ->cutOffKeyedService_;
 }
 
+std::vector<NodeAddress>
+Snapshot::AllNodes() const
+{
+  std::vector<NodeAddress> all;
+  for (const auto& domain : FailureDomains()) {
+    const auto& nodes = NodesOf(domain.name_);
+    all.insert(all.end(), nodes.begin(), nodes.end());
+  }
+  return all;
+}
+
+const CallerLimits&
+Snapshot::LimitsOfCallers() const noexcept
+{
+  return impl::FindPart<FailureDomainsPart>(parts_, part_name::kFailureDomains)->callerLimits_;
+}
+
+std::uint64_t
+Snapshot::DocumentNumber() const noexcept
+{
+  return impl::FindPart<FailureDomainsPart>(parts_, part_name::kFailureDomains)->documentNumber_;
+}
+
 SnapshotBuilder&
 SnapshotBuilder::Add(std::string aName, SharedPart aPart)
 {
--- a/src/version/snapshot_checks.cpp
+++ b/src/version/snapshot_checks.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <unordered_set>
 
 namespace geraniumpin::impl {
@@ -181,18 +182,21 @@
   {
     std::set<std::string_view> names;
     CollectUnique(aPart, "/routes", aValue.routes_, names);
-    std::set<std::pair<std::string_view, std::string_view>> matches;
+    std::set<std::tuple<std::string_view, std::string_view, std::string_view>> matches;
     for (std::size_t i = 0; i < aValue.routes_.size(); ++i) {
       const auto& route = aValue.routes_[i];
       const auto path = "/routes/" + std::to_string(i);
-      if (!services_.contains(route.service_)) {
-        AddFault(aPart, path + "/service", "the name of a service", route.service_);
+      for (const auto& destination : route.destinations_) {
+        if (!services_.contains(destination.service_)) {
+          AddFault(aPart, path + "/service", "the name of a service", destination.service_);
+        }
       }
-      for (const auto& method : route.methods_) {
-        if (!matches.emplace(method, route.pathPrefix_).second) {
+      static const std::vector<std::string> kAnyMethod{ "*" };
+      for (const auto& method : route.methods_.empty() ? kAnyMethod : route.methods_) {
+        if (!matches.emplace(route.host_, method, route.pathPrefix_).second) {
           AddFault(aPart,
                    path + "/path_prefix",
-                   "a method and path prefix that no other route has",
+                   "a host, method and path prefix that no other route has",
                    method + " " + route.pathPrefix_);
         }
       }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -110,6 +110,7 @@
                      .payload_ = CallRequest{ .id_ = { 1000, aSequence },
                                               .attempt_ = 1,
                                               .route_ = "order",
+                                              .service_ = "orders",
                                               .team_ = "small",
                                               .keyDigest_ = Digest::Of("key-small"),
                                               .method_ = "POST",
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -6,7 +6,7 @@
 /// steers it under /control. GET /health says what a test wants it to say, truth or not.
 
 #include "../../src/adapters/connection/http_server.hpp"
-#include "../../src/adapters/process/glog_log.hpp"
+#include "../../src/adapters/process/line_log.hpp"
 #include "../../src/adapters/process/signal_watch.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
 
