--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -4,7 +4,7 @@
 /// addresses stops the bytes and keeps the connections, as a network partition does.
 
 #include "../../src/adapters/connection/http_server.hpp"
-#include "../../src/adapters/process/glog_log.hpp"
+#include "../../src/adapters/process/line_log.hpp"
 #include "../../src/adapters/process/signal_watch.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
 
