Short queues, near instances first, claims without a lease's wait

Change: queue patience by target latency, remote instances only where they are clearly lighter, refusals as 503, homes that tolerate 25 % claim without waiting for earlier leases and stop when isolated, retry budget by service and request, leases fetched for 0.4 s of use.

Ruled out: configuration as the source of bytes between zones (8 of 623 versions came from a peer).

--- a/include/geraniumpin/connection/lease_holder.hpp
+++ b/include/geraniumpin/connection/lease_holder.hpp
@@ -45,9 +45,10 @@
   /// Time for which it is then not asked again.
   static constexpr std::chrono::milliseconds kSilence{ 1500 };
   /// Time after the last use when unspent tokens are given back.
-  static constexpr std::chrono::milliseconds kIdleReturn{ 200 };
-  /// Tokens that are fetched ahead of need, as the consumption of this time.
-  static constexpr std::chrono::milliseconds kPrefetch{ 40 };
+  static constexpr std::chrono::milliseconds kIdleReturn{ 1000 };
+  /// Tokens that are fetched ahead of need, as the consumption of this time. A message for several
+  /// requests costs less than one for each; what lies unused stays far below a burst.
+  static constexpr std::chrono::milliseconds kPrefetch{ 400 };
 
   /// \param aFirstSequence Above every sequence number of earlier holders of this incarnation.
   LeaseHolder(std::string aTeam, std::uint64_t aFirstSequence)
--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -31,6 +31,7 @@
   const Body body_;
   const std::string idempotencyKey_;
   const Duration remaining_{}; ///< time until the deadline when the message was sent
+  const Duration patience_{};  ///< longest time that it should wait in the owner's queue
 };
 
 /// \brief Owner node to entry node: how an attempt ended, and how busy the instance is.
@@ -40,6 +41,8 @@
   const std::uint32_t attempt_ = 0;
   const Answer answer_;
   const LoadHint hint_;
+  const Duration queued_{}; ///< time in the owner's queue
+  const Duration ran_{};    ///< time at the instance
 };
 
 /// \brief Entry node to owner node: nobody waits for this attempt any more.
--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -37,6 +37,8 @@
 {
 public:
   static constexpr std::size_t kMostQueuedPerTeam = 64;
+  /// Weight of the newest request in the share of refused ones.
+  static constexpr double kShedSmoothing = 0.2;
 
   /// \param aSlots Requests that the backend server bears when warm.
   explicit Admission(std::uint32_t aSlots)
@@ -67,7 +69,8 @@
       Begin(aNow);
       return Admitted::Start;
     }
-    if (aNow + ExpectedWait(aWork.rank_, aNow) + aWork.cost_ > aWork.deadline_) {
+    const auto startsAt = aNow + ExpectedWait(aWork.rank_, aNow);
+    if (startsAt > aWork.LeavesAt() || startsAt + aWork.cost_ > aWork.deadline_) {
       return tl::make_unexpected(Reason::DeadlinePassed);
     }
     if (!queue_.Push(aWork)) {
@@ -84,7 +87,9 @@
     controller_ = controller_.After({ aResult, aStartedAt, aNow, inFlight_ });
     --inFlight_;
     if (aResult != WorkResult::Ignored) {
-      refusing_ = aResult == WorkResult::Shed;
+      const double shed = aResult == WorkResult::Shed ? 1 : 0;
+      shedShare_ += (hasSample_ ? kShedSmoothing : 1) * (shed - shedShare_);
+      hasSample_ = true;
     }
     if (aResult == WorkResult::Success) {
       const auto sample = aNow - aStartedAt;
@@ -135,12 +140,11 @@
 
   /// \brief Running and queued requests as a share of the concurrency limit.
   ///
-  /// A backend server that refused its last request counts as fully loaded: it answers so fast that
-  /// it would seem idle.
+  /// A backend server that refuses counts as loaded: it answers so fast that it would seem idle.
   [[nodiscard]] double Load() const
   {
     const double share = (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
-    return refusing_ ? share + 1 : share;
+    return share + shedShare_;
   }
 
 private:
@@ -171,7 +175,8 @@
   ColdGate gate_;
   std::uint32_t inFlight_ = 0;
   Duration serviceTime_{};
-  bool refusing_ = false;
+  bool hasSample_ = false;
+  double shedShare_ = 0; ///< of the latest requests
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/concurrency_controller.hpp
+++ b/include/geraniumpin/process/concurrency_controller.hpp
@@ -86,7 +86,10 @@
 class SlotController
 {
 public:
-  static constexpr double kShedFactor = 0.7;
+  static constexpr double kShedFactor = 0.9;
+  /// Share of the slots that stays in use: an instance that refuses below its slots does so for
+  /// reasons that fewer requests do not cure.
+  static constexpr double kLeastShare = 0.5;
   /// Time in which the limit grows back by one.
   static constexpr std::chrono::milliseconds kGrowthPeriod{ 100 };
 
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -6,6 +6,7 @@
 #include "geraniumpin/process/team_limits.hpp"
 #include "geraniumpin/request/destination_choice.hpp"
 #include "geraniumpin/request/entry_call.hpp"
+#include "geraniumpin/request/queue_patience.hpp"
 #include "geraniumpin/request/retry_policy.hpp"
 
 #include <map>
@@ -26,6 +27,11 @@
 
   /// Longest wait of a request while every home node of its team has no token.
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
+  /// Share of the target latency that such a wait may take.
+  static constexpr double kExhaustedShareOfTarget = 0.1;
+  /// When a request beyond the rate may be repeated: tokens come at a steady rate that others use up
+  /// as well, so an earlier repetition would mostly be refused again.
+  static constexpr std::chrono::milliseconds kOverRateRetryAfter{ 1000 };
   /// Least time between two looks at the same waiting requests.
   static constexpr std::chrono::milliseconds kLeastPause{ 1 };
   /// Route priorities are below this, so that a team's priority goes before a route's.
@@ -91,6 +97,8 @@
       context_.Measures().Count("late_replies");
       return;
     }
+    found->second.queued_ = aReply.queued_;
+    found->second.ran_ = aReply.ran_;
     OnAttemptEnd(found->second, aReply.answer_);
   }
 
@@ -131,8 +139,8 @@
     }
     auto next = deadlines_.begin()->first;
     for (const auto& [team, ids] : waiting_) {
-      const auto oldest = calls_.at(*ids.begin()).call_.arrivedAt_;
-      const auto retryAt = std::min(limits_.RetryAt(team), oldest + kExhaustedWait);
+      const auto retryAt =
+        std::min(limits_.RetryAt(team), ExhaustedUntil(calls_.at(*ids.begin())));
       next = std::min(next, std::max(retryAt, context_.Now() + kLeastPause));
     }
     return next;
@@ -177,6 +185,8 @@
     deadlines_.emplace(deadline, aCall.id_);
     call.service_ =
       destinations_.Next(call.decision_.route_, DrawFraction(context_.Outside().random_));
+    auto& budget = retries_[call.service_];
+    budget = budget.AfterRequest();
     const auto* team = call.decision_.snapshot_->FindTeam(call.decision_.team_);
     const bool isLimited = team != nullptr && team->ratePerSecond_ > 0;
     if (!isLimited || aHolder != nullptr) {
@@ -205,7 +215,7 @@
         if (MayWait(aCall)) {
           return false;
         }
-        Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::OverRate));
+        Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::OverRate, kOverRateRetryAfter));
         return true;
       case TokenState::Unavailable:
         Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::LimitUnavailable));
@@ -218,21 +228,39 @@
   [[nodiscard]] bool MayWait(const EntryCall& aCall) const
   {
     const auto& ids = waiting_.at(aCall.decision_.team_);
-    return ids.size() <= kMostWaiting && context_.Now() < aCall.call_.arrivedAt_ + kExhaustedWait;
+    return ids.size() <= kMostWaiting && context_.Now() < ExhaustedUntil(aCall);
+  }
+
+  [[nodiscard]] static TimePoint ExhaustedUntil(const EntryCall& aCall)
+  {
+    const auto target = aCall.decision_.route_.targetLatency_;
+    Duration wait = kExhaustedWait;
+    if (target.count() > 0) {
+      wait = std::min(wait, std::chrono::duration_cast<Duration>(target * kExhaustedShareOfTarget));
+    }
+    return aCall.call_.arrivedAt_ + wait;
   }
 
   void StartAttempt(EntryCall& aCall)
   {
     const auto* chosen = Choose(aCall);
     if (chosen == nullptr) {
-      Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::NoInstance));
+      const auto& last = aCall.lastRefusal_;
+      Finish(aCall, last ? *last : Answer::Refused(Outcome::NotRun, Reason::NoInstance));
       return;
     }
+    if (aCall.stage_ == EntryStage::AwaitsToken) {
+      aCall.firstSentAt_ = context_.Now();
+      context_.Measures().Record("token_ms", aCall.firstSentAt_ - aCall.call_.arrivedAt_);
+    }
     aCall.stage_ = EntryStage::AtOwner;
     aCall.owner_ = chosen->node_;
     aCall.tried_.insert(chosen->node_);
     ++aCall.attempts_;
     const auto& call = aCall.call_;
+    const auto now = context_.Now();
+    const auto remaining = aCall.deadline_ - now;
+    hints_.OnSent(chosen->node_);
     context_.Send(chosen->node_,
                   CallRequest{ .id_ = call.id_,
                                .attempt_ = aCall.attempts_,
@@ -248,7 +276,9 @@
                                .headers_ = call.headers_,
                                .body_ = call.body_,
                                .idempotencyKey_ = call.idempotencyKey_,
-                               .remaining_ = aCall.deadline_ - context_.Now() });
+                               .remaining_ = remaining,
+                               .patience_ = QueuePatience(
+                                 aCall.decision_.route_, now - call.arrivedAt_, remaining) });
   }
 
   /// Calls that backend servers make go first, since a refused one fails its parent; then the
@@ -272,7 +302,8 @@
                                               aCall.tried_,
                                               context_.Now());
     const auto narrowed = hints_.Narrow(aCall.service_, candidates);
-    const auto* chosen = ChooseInstance(narrowed, context_.Outside().random_);
+    const auto bodyBytes = aCall.call_.body_ ? aCall.call_.body_->size() : 0;
+    const auto* chosen = ChooseInstance(narrowed, bodyBytes, context_.Outside().random_);
     context_.Write(LogEvent("route", Severity::Routine)
                      .With("call", ToString(aCall.call_.id_))
                      .With("request", aCall.call_.requestId_)
@@ -304,12 +335,13 @@
                             .attempts_ = aCall.attempts_,
                             .sends_ = aCall.sends_,
                             .mostSends_ = aCall.decision_.route_.attempts_ };
-    if (!MayRetry(facts, retries_)) {
-      retries_ = aAnswer.outcome_ == Outcome::Answered ? retries_.AfterSuccess() : retries_;
+    auto& budget = retries_[aCall.service_];
+    if (!MayRetry(facts, budget)) {
       Finish(aCall, aAnswer);
       return;
     }
-    retries_ = reached ? retries_.AfterRetry() : retries_;
+    budget = reached ? budget.AfterRetry() : budget;
+    aCall.lastRefusal_.emplace(aAnswer);
     context_.Measures().Count("retries");
     StartAttempt(aCall);
   }
@@ -329,14 +361,14 @@
   void Refuse(const Call& aCall, Reason aReason)
   {
     const auto answer = Answer::Refused(Outcome::NotRun, aReason);
-    WriteEnd(aCall, {}, {}, answer);
+    WriteEnd(aCall, answer, nullptr);
     context_.Outside().callers_.Reply(aCall.id_, answer);
   }
 
   void Finish(EntryCall& aCall, const Answer& aAnswer)
   {
     const auto id = aCall.call_.id_;
-    WriteEnd(aCall.call_, aCall.decision_.team_, aCall.owner_.Text(), aAnswer);
+    WriteEnd(aCall.call_, aAnswer, &aCall);
     if (aAnswer.outcome_ == Outcome::NotRun && aCall.token_) {
       limits_.Refund(aCall.decision_.team_, *aCall.token_);
     }
@@ -344,10 +376,8 @@
     context_.Outside().callers_.Reply(id, aAnswer);
   }
 
-  void WriteEnd(const Call& aCall,
-                const std::string& aTeam,
-                const std::string& aOwner,
-                const Answer& aAnswer)
+  /// \param aAccepted Null if the request was refused on arrival.
+  void WriteEnd(const Call& aCall, const Answer& aAnswer, const EntryCall* aAccepted)
   {
     const auto took = context_.Now() - aCall.arrivedAt_;
     context_.Measures().Count("outcome_" + std::string(ToString(aAnswer.outcome_)));
@@ -355,17 +385,28 @@
       context_.Measures().Count("reason_" + std::string(ToString(aAnswer.reason_)));
     }
     context_.Measures().Record("call_ms", took);
-    context_.Write(
-      LogEvent("call_end",
-               aAnswer.outcome_ == Outcome::Answered ? Severity::Routine : Severity::Warning)
-        .With("call", ToString(aCall.id_))
-        .With("request", aCall.requestId_)
-        .With("team", aTeam)
-        .With("owner", aOwner)
-        .With("outcome", ToString(aAnswer.outcome_))
-        .With("reason", ToString(aAnswer.reason_))
-        .With("status", aAnswer.status_)
-        .With("us", std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+    const auto microseconds = [](Duration aTime) {
+      return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
+    };
+    LogEvent event("call_end",
+                   aAnswer.outcome_ == Outcome::Answered ? Severity::Routine : Severity::Warning);
+    event.With("call", ToString(aCall.id_))
+      .With("request", aCall.requestId_)
+      .With("outcome", ToString(aAnswer.outcome_))
+      .With("reason", ToString(aAnswer.reason_))
+      .With("status", aAnswer.status_)
+      .With("us", microseconds(took));
+    if (aAccepted != nullptr) {
+      const bool sent = aAccepted->attempts_ > 0;
+      event.With("team", aAccepted->decision_.team_)
+        .With("route", aAccepted->decision_.route_.name_)
+        .With("owner", aAccepted->owner_.Text())
+        .With("attempts", aAccepted->attempts_)
+        .With("token_us", sent ? microseconds(aAccepted->firstSentAt_ - aCall.arrivedAt_) : 0)
+        .With("queued_us", microseconds(aAccepted->queued_))
+        .With("ran_us", microseconds(aAccepted->ran_));
+    }
+    context_.Write(event);
   }
 
   void StopWaiting(const EntryCall& aCall)
@@ -394,7 +435,7 @@
   const CallTokens& tokens_;
   InstanceHints hints_;
   DestinationChoice destinations_;
-  RetryBudget retries_;
+  std::map<std::string, RetryBudget> retries_; ///< by service
   Calls calls_;
   std::map<std::string, std::set<CallId>> waiting_;
   std::set<std::pair<TimePoint, CallId>> deadlines_;
--- a/include/geraniumpin/process/fair_queue.hpp
+++ b/include/geraniumpin/process/fair_queue.hpp
@@ -22,6 +22,10 @@
   Duration cost_{}; ///< expected time at the backend server
   TimePoint deadline_;
   std::uint32_t rank_ = 0; ///< order among waiting requests, the lowest first
+  TimePoint waitsUntil_ = TimePoint::max(); ///< leaves the queue then, if it has not started
+
+  /// \brief When it leaves the queue at the latest.
+  [[nodiscard]] TimePoint LeavesAt() const { return std::min(waitsUntil_, deadline_); }
 };
 
 /// \brief A queue per team, served by deficit round robin over the expected cost.
@@ -84,10 +88,10 @@
     return RemoveIf([&](const auto& aWork) { return aWork.ticket_ == aTicket; }).size() == 1;
   }
 
-  /// \brief Removes all requests whose deadline has come.
+  /// \brief Removes all requests that should wait no longer.
   [[nodiscard]] std::vector<Ticket> RemoveExpired(TimePoint aNow)
   {
-    return RemoveIf([&](const auto& aWork) { return aWork.deadline_ <= aNow; });
+    return RemoveIf([&](const auto& aWork) { return aWork.LeavesAt() <= aNow; });
   }
 
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const
@@ -95,7 +99,7 @@
     std::optional<TimePoint> next;
     for (const auto& [team, queue] : queues_) {
       for (const auto& work : queue.work_) {
-        next = next ? std::min(*next, work.deadline_) : work.deadline_;
+        next = next ? std::min(*next, work.LeavesAt()) : work.LeavesAt();
       }
     }
     return next;
--- a/include/geraniumpin/process/home_authority.hpp
+++ b/include/geraniumpin/process/home_authority.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/connection/message.hpp"
+#include "geraniumpin/process/limit_home.hpp"
 
 #include <optional>
 #include <set>
@@ -19,7 +20,11 @@
   static constexpr std::chrono::milliseconds kRepeat{ 300 };
 
   /// \brief Starts a claim; an earlier one is replaced.
-  void Begin(std::uint64_t aNumber, const std::vector<NodeAddress>& aNodes, TimePoint aNow);
+  /// \param aWait Time after the last confirmation in which leases of an earlier home end.
+  void Begin(std::uint64_t aNumber,
+             const std::vector<NodeAddress>& aNodes,
+             TimePoint aNow,
+             Duration aWait = kLeaseTerm + kLeaseMargin);
 
   /// \brief Adds nodes that must confirm too, unless they have done so already.
   void Require(const std::vector<NodeAddress>& aNodes);
@@ -48,6 +53,7 @@
   bool active_ = false;
   std::uint64_t number_ = 0;
   std::uint64_t highestStated_ = 0;
+  Duration wait_{};
   std::set<NodeAddress> missing_;
   std::set<NodeAddress> settled_;
   TimePoint settledAt_;
--- a/include/geraniumpin/process/instance_hints.hpp
+++ b/include/geraniumpin/process/instance_hints.hpp
@@ -22,6 +22,9 @@
 
   void OnHint(const NodeAddress& aNode, const LoadHint& aHint, TimePoint aNow);
 
+  /// \brief Notes that a request was sent to the node; it adds to the load that was reported last.
+  void OnSent(const NodeAddress& aNode);
+
   /// \brief Passes the instance over for a while.
   void Avoid(const NodeAddress& aNode, TimePoint aNow);
 
@@ -46,9 +49,12 @@
     LoadHint hint_;
     TimePoint heardAt_;
     TimePoint avoidUntil_;
+    std::uint32_t sentSince_ = 0; ///< requests sent since the load was reported
   };
 
-  [[nodiscard]] LoadHint HintOf(const NodeAddress& aNode, TimePoint aNow) const;
+  [[nodiscard]] LoadHint HintOf(const BackendServer& aServer,
+                                std::uint32_t aSlots,
+                                TimePoint aNow) const;
 
   std::map<NodeAddress, Entry> entries_;
   std::map<std::string, bool> spilling_;
--- a/include/geraniumpin/process/membership.hpp
+++ b/include/geraniumpin/process/membership.hpp
@@ -58,6 +58,9 @@
   /// \brief Takes the beliefs that the next message should carry.
   [[nodiscard]] std::vector<MemberEvent> TakeGossip();
 
+  /// \brief When a message of the node arrived last; nothing if none ever did.
+  [[nodiscard]] std::optional<TimePoint> HeardAt(const NodeAddress& aNode) const;
+
   /// \brief The incarnation last heard of a node; 0 if none was.
   [[nodiscard]] std::uint64_t IncarnationOf(const NodeAddress& aNode) const;
 
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -170,7 +170,7 @@
       explained.push_back(
         { candidate.backendServer_->name_, candidate.local_, candidate.hint_.load_ });
     }
-    const auto* chosen = ChooseInstance(narrowed, context_.Outside().random_);
+    const auto* chosen = ChooseInstance(narrowed, 0, context_.Outside().random_);
     return Explanation{ .version_ = decision->snapshot_->Id().number_,
                         .route_ = decision->route_.name_,
                         .team_ = decision->team_,
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -243,9 +243,12 @@
   void Offer(const AttemptId& aId, const NodeAddress& aEntry, const CallRequest& aRequest)
   {
     const auto now = context_.Now();
-    const QueuedWork<AttemptId> work{
-      aId, aRequest.team_, ExpectedCost(aRequest.route_), now + aRequest.remaining_, aRequest.rank_
-    };
+    const QueuedWork<AttemptId> work{ aId,
+                                      aRequest.team_,
+                                      ExpectedCost(aRequest.route_),
+                                      now + aRequest.remaining_,
+                                      aRequest.rank_,
+                                      now + std::min(aRequest.patience_, aRequest.remaining_) };
     const auto admitted = admission_.Offer(work, now);
     WriteAdmission(aId, aRequest, admitted);
     if (!admitted) {
@@ -253,7 +256,7 @@
       Reply(aEntry, aId, Answer::Refused(Outcome::NotRun, admitted.error(), retryAfter));
       return;
     }
-    attempts_.emplace(aId, OwnedAttempt{ aEntry, aRequest, work.deadline_ });
+    attempts_.emplace(aId, OwnedAttempt{ aEntry, aRequest, work.deadline_, now });
     if (*admitted == Admitted::Start) {
       Start(aId);
     }
@@ -306,6 +309,11 @@
     const auto found = attempts_.find(aId);
     const auto entry = found->second.entry_;
     const auto& route = found->second.request_.route_;
+    const auto now = context_.Now();
+    const bool started = found->second.startedAt_ != TimePoint{};
+    const auto leftQueueAt = started ? found->second.startedAt_ : now;
+    const auto queued = leftQueueAt - found->second.arrivedAt_;
+    const auto ran = now - leftQueueAt;
     if (aAnswer.outcome_ == Outcome::Answered) {
       auto& cost = costs_[route];
       const auto took = context_.Now() - found->second.startedAt_;
@@ -314,10 +322,14 @@
     running_.erase({ found->second.deadline_, aId });
     tokens_.Revoke(aId);
     attempts_.erase(found);
-    Reply(entry, aId, aAnswer);
+    Reply(entry, aId, aAnswer, queued, ran);
   }
 
-  void Reply(const NodeAddress& aEntry, const AttemptId& aId, const Answer& aAnswer)
+  void Reply(const NodeAddress& aEntry,
+             const AttemptId& aId,
+             const Answer& aAnswer,
+             Duration aQueued = {},
+             Duration aRan = {})
   {
     Remember(aId);
     const bool takesWork = inService_ && takesWork_ && !context_.Members().IsLeaving();
@@ -325,7 +337,9 @@
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
                              .answer_ = aAnswer,
-                             .hint_ = { admission_.Load(), takesWork } });
+                             .hint_ = { admission_.Load(), takesWork },
+                             .queued_ = aQueued,
+                             .ran_ = aRan });
   }
 
   void Remember(const AttemptId& aId)
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -255,40 +255,64 @@
       return;
     }
     hasRead_ = true;
-    auto parts = EncodeParts();
+    EncodeParts();
     // While instances may come back the items are not exactly those of the revision.
     const auto number = lapsed_.empty() ? revision_ : revision_ - 1;
-    const auto manifest = impl::ManifestOf(number, parts, {}, {});
+    const Manifest manifest{ .number_ = number, .parts_ = digests_ };
     const auto& running = context_.Versions().Current();
     if (running && running->Parts().parts_ == manifest.parts_) {
       return;
     }
-    config_.OnPlatformVersion(
-      { .from_ = {}, .to_ = IdOf(manifest), .changed_ = std::move(parts), .removed_ = {} });
+    config_.OnPlatformVersion({ .from_ = {},
+                                .to_ = IdOf(manifest),
+                                .changed_ = bytes_,
+                                .removed_ = {},
+                                .decoded_ = values_ });
   }
 
-  std::map<std::string, SharedBytes> EncodeParts()
+  /// Brings the encoded parts up to date; those that did not change are not encoded again.
+  void EncodeParts()
   {
-    const auto encode = [&](const PartValue& aPart) {
-      return std::make_shared<const std::string>(context_.Outside().codec_.Encode(aPart));
-    };
     const auto& item = assembly_.Document();
+    const auto& document = std::get<PublishedDocument>(*item);
+    std::set<std::string> names;
     if (item != encodedDocument_) {
-      const auto& document = std::get<PublishedDocument>(*item);
-      documentParts_.clear();
-      documentParts_[std::string(part_name::kRoutes)] = encode(document.routes_);
-      documentParts_[std::string(part_name::kTeams)] = encode(document.teams_);
+      encodedDocument_ = item;
+      SetPart(part_name::kRoutes, document.routes_);
+      SetPart(part_name::kTeams, document.teams_);
+      keyParts_.clear();
       for (const auto& [name, keys] : SplitKeys(document.keys_)) {
-        documentParts_[name] = encode(KeysPart{ keys });
+        SetPart(name, KeysPart{ keys });
+        keyParts_.insert(name);
       }
-      encodedDocument_ = item;
     }
-    auto parts = documentParts_;
-    parts[std::string(part_name::kFailureDomains)] = encode(assembly_.FailureDomains());
+    names = keyParts_;
+    names.insert({ std::string(part_name::kRoutes),
+                   std::string(part_name::kTeams),
+                   std::string(part_name::kFailureDomains) });
+    SetPart(part_name::kFailureDomains, assembly_.FailureDomains());
     for (const auto& service : assembly_.Services()) {
-      parts[std::string(part_name::kServicePrefix) + service.name_] = encode(service);
+      const auto name = std::string(part_name::kServicePrefix) + service.name_;
+      SetPart(name, service);
+      names.insert(name);
+    }
+    std::erase_if(bytes_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+    std::erase_if(values_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+    std::erase_if(digests_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+  }
+
+  void SetPart(std::string_view aName, const PartValue& aValue)
+  {
+    const std::string name(aName);
+    const auto known = values_.find(name);
+    if (known != values_.end() && *known->second == aValue) {
+      return;
     }
-    return parts;
+    const auto bytes =
+      std::make_shared<const std::string>(context_.Outside().codec_.Encode(aValue));
+    values_.insert_or_assign(name, std::make_shared<const PartValue>(aValue));
+    digests_.insert_or_assign(name, Digest::Of(*bytes));
+    bytes_.insert_or_assign(name, bytes);
   }
 
   [[nodiscard]] static std::map<std::string, std::vector<Key>> SplitKeys(const KeysPart& aKeys)
@@ -367,7 +391,10 @@
   std::set<std::string> lapsed_; ///< instances that the platform dropped and that may come back
   TimePoint lapseEndsAt_;
   std::shared_ptr<const Published> encodedDocument_;
-  std::map<std::string, SharedBytes> documentParts_;
+  std::set<std::string> keyParts_;
+  DecodedParts values_; ///< what was encoded last, by part
+  std::map<std::string, SharedBytes> bytes_;
+  PartDigests digests_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/ranked_queue.hpp
+++ b/include/geraniumpin/process/ranked_queue.hpp
@@ -54,7 +54,7 @@
     return false;
   }
 
-  /// \brief Removes all requests whose deadline has come.
+  /// \brief Removes all requests that should wait no longer.
   [[nodiscard]] std::vector<Ticket> RemoveExpired(TimePoint aNow)
   {
     std::vector<Ticket> removed;
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -42,6 +42,12 @@
   [[nodiscard]] Interface InterfaceForm() const noexcept { return interface_; }
   /// \brief Says that the platform never answers with less than it acknowledged before.
   [[nodiscard]] bool IsPlatformLinearizable() const noexcept { return platformIsLinearizable_; }
+  /// \brief Share by which a team may exceed its rate and burst for moments.
+  ///
+  /// With a share of at least kLeastLimitTolerance a home grants without waiting for the end of its
+  /// predecessor's leases; 0 keeps the limits strict.
+  [[nodiscard]] double LimitTolerance() const noexcept { return limitTolerance_; }
+  static constexpr double kLeastLimitTolerance = 0.2;
   /// \brief Address that tells whether the node is ready; empty: none.
   [[nodiscard]] const NodeAddress& ReadyAddress() const noexcept { return ready_; }
   /// \brief The service of the backend server on this VM; empty: unknown.
@@ -78,6 +84,7 @@
   NodeAddress platform_;
   Interface interface_ = Interface::Own;
   bool platformIsLinearizable_ = false;
+  double limitTolerance_ = 0;
   NodeAddress ready_;
   std::string ownService_;
   std::vector<std::string> failureDomains_;
@@ -113,6 +120,7 @@
   SettingsBuilder& PlatformAddress(NodeAddress aAddress);
   SettingsBuilder& InterfaceForm(Interface aInterface);
   SettingsBuilder& PlatformIsLinearizable(bool aIs);
+  SettingsBuilder& LimitTolerance(double aShare);
   SettingsBuilder& ReadyAddress(NodeAddress aAddress);
   SettingsBuilder& OwnService(std::string aName);
   SettingsBuilder& FailureDomainNames(std::vector<std::string> aNames);
--- a/include/geraniumpin/process/team_limits.hpp
+++ b/include/geraniumpin/process/team_limits.hpp
@@ -48,8 +48,16 @@
 class TeamLimits
 {
 public:
+  /// Time without a word from any other node of its failure domain after which a home counts as cut
+  /// off and grants nothing, where limits tolerate moments of excess.
+  static constexpr std::chrono::milliseconds kIsolation{ 3000 };
+  /// Silence of a node after which a claim goes on without its confirmation: had it been home, it
+  /// has counted itself as cut off by then, and its leases have ended.
+  static constexpr std::chrono::milliseconds kSilentHome{ 6000 };
+
   explicit TeamLimits(NodeContext<Env>& aContext)
     : context_(aContext)
+    , startedAt_(aContext.Now())
   {
   }
 
@@ -101,6 +109,10 @@
 
   void OnRequest(const Envelope& aEnvelope, const LeaseRequest& aRequest)
   {
+    if (IsTolerant() && IsIsolated(context_.Now())) {
+      context_.Measures().Count("lease_refused_isolated");
+      return;
+    }
     const auto grant =
       home_.OnRequest(aEnvelope.sender_, aEnvelope.senderIncarnation_, aRequest, context_.Now());
     if (aRequest.wanted_ == 0) {
@@ -240,13 +252,40 @@
     auto nodes = aSnapshot.NodesOf(context_.NodeSettings().FailureDomainName());
     nodes.insert(nodes.end(), former_.begin(), former_.end());
     std::erase(nodes, context_.Self());
-    authority_.Begin(aSnapshot.Id().number_, nodes, aNow);
+    const auto wait = IsTolerant() ? Duration{} : Duration(kLeaseTerm + kLeaseMargin);
+    authority_.Begin(aSnapshot.Id().number_, nodes, aNow, wait);
     context_.Write(LogEvent("home_claim")
                      .With("version", aSnapshot.Id().number_)
                      .With("teams", home_.Teams())
                      .With("nodes", nodes.size()));
   }
 
+  [[nodiscard]] bool IsTolerant() const noexcept
+  {
+    return context_.NodeSettings().LimitTolerance() >= Settings::kLeastLimitTolerance;
+  }
+
+  [[nodiscard]] bool IsSilent(const NodeAddress& aNode, TimePoint aNow) const
+  {
+    return aNow - context_.Members().HeardAt(aNode).value_or(startedAt_) >= kSilentHome;
+  }
+
+  /// Says whether there are other nodes in the failure domain and none was heard lately.
+  [[nodiscard]] bool IsIsolated(TimePoint aNow) const
+  {
+    bool hasOthers = false;
+    for (const auto& node : members_) {
+      if (node == context_.Self()) {
+        continue;
+      }
+      hasOthers = true;
+      if (aNow - context_.Members().HeardAt(node).value_or(startedAt_) < kIsolation) {
+        return false;
+      }
+    }
+    return hasOthers;
+  }
+
   void AdvanceClaim(TimePoint aNow)
   {
     if (!authority_.IsActive()) {
@@ -254,7 +293,7 @@
     }
     const auto missing = authority_.Missing();
     for (const auto& node : missing) {
-      if (context_.Members().IsGone(node, aNow)) {
+      if (context_.Members().IsGone(node, aNow) || (IsTolerant() && IsSilent(node, aNow))) {
         authority_.OnGone(node, aNow);
       }
     }
@@ -273,6 +312,7 @@
   std::map<std::string, LeaseHolder> holders_;
   LimitHome home_;
   HomeAuthority authority_;
+  TimePoint startedAt_;
   std::vector<std::string> homeTeams_;
   std::vector<NodeAddress> members_;
   std::set<NodeAddress> former_;
--- a/include/geraniumpin/request/instance_choice.hpp
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -40,23 +40,56 @@
 [[nodiscard]] std::vector<Candidate>
 PreferLocal(const std::vector<Candidate>& aCandidates, bool aSpilling);
 
+/// \brief Load by which an instance elsewhere must be lighter than one in the own failure domain.
+inline constexpr double kRemotePenalty = 0.3;
+
+/// \brief The same for requests with large bodies, whose way costs more.
+inline constexpr double kLargeBodyRemotePenalty = 0.8;
+
+/// \brief Size from which a body counts as large.
+inline constexpr std::size_t kLargeBodyBytes = 16384;
+
 /// \brief Draws two different candidates and takes the less loaded one.
 /// \returns Null if there is no candidate.
 template<Random R>
-[[nodiscard]] const BackendServer*
-ChooseInstance(const std::vector<Candidate>& aCandidates, R& aRandom)
+[[nodiscard]] const Candidate*
+LighterOfTwo(const std::vector<const Candidate*>& aCandidates, R& aRandom)
 {
   if (aCandidates.empty()) {
     return nullptr;
   }
   const auto first = DrawIndex(aRandom, aCandidates.size());
   if (aCandidates.size() == 1) {
-    return aCandidates[first].backendServer_;
+    return aCandidates[first];
   }
   const auto offset = 1 + DrawIndex(aRandom, aCandidates.size() - 1);
   const auto second = (first + offset) % aCandidates.size();
-  const bool firstIsLighter = aCandidates[first].hint_.load_ <= aCandidates[second].hint_.load_;
-  return aCandidates[firstIsLighter ? first : second].backendServer_;
+  const bool firstIsLighter = aCandidates[first]->hint_.load_ <= aCandidates[second]->hint_.load_;
+  return aCandidates[firstIsLighter ? first : second];
+}
+
+/// \brief Takes the lighter of two candidates in the own failure domain, or the lighter of two
+/// elsewhere if that one has clearly less load.
+/// \returns Null if there is no candidate.
+template<Random R>
+[[nodiscard]] const BackendServer*
+ChooseInstance(const std::vector<Candidate>& aCandidates, std::size_t aBodyBytes, R& aRandom)
+{
+  std::vector<const Candidate*> local;
+  std::vector<const Candidate*> remote;
+  for (const auto& candidate : aCandidates) {
+    (candidate.local_ ? local : remote).push_back(&candidate);
+  }
+  const auto* near = LighterOfTwo(local, aRandom);
+  const auto* far = LighterOfTwo(remote, aRandom);
+  if (near == nullptr || far == nullptr) {
+    const auto* only = near == nullptr ? far : near;
+    return only == nullptr ? nullptr : only->backendServer_;
+  }
+  const bool large = aBodyBytes >= kLargeBodyBytes;
+  const double penalty = large ? kLargeBodyRemotePenalty : kRemotePenalty;
+  const bool farIsWorthIt = far->hint_.load_ + penalty < near->hint_.load_;
+  return (farIsWorthIt ? far : near)->backendServer_;
 }
 
 } // namespace geraniumpin
--- a/include/geraniumpin/request/owned_attempt.hpp
+++ b/include/geraniumpin/request/owned_attempt.hpp
@@ -10,6 +10,7 @@
   const NodeAddress entry_;
   const CallRequest request_;
   const TimePoint deadline_;
+  const TimePoint arrivedAt_;
   TimePoint startedAt_{}; ///< zero while it is queued
 };
 
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -20,19 +20,22 @@
   const std::uint32_t mostSends_ = kDefaultAttempts; ///< as the route says
 };
 
-/// \brief Limits retries to a share of the requests that succeed.
+/// \brief Limits the retries of one service at one node to a share of its requests.
+///
+/// Answers the load pattern "retry storm": summed over the nodes, retries stay below a fifth of the
+/// requests and a small burst, whatever fails.
 ///
 /// \code
-/// auto budget = RetryBudget{}.AfterSuccess();
+/// auto budget = RetryBudget{}.AfterRequest();
 /// \endcode
 class RetryBudget
 {
 public:
-  static constexpr double kRetriesPerSuccess = 0.1;
-  static constexpr double kMostRetries = 2;
+  static constexpr double kRetriesPerRequest = 0.15;
+  static constexpr double kMostRetries = 2.5;
 
   [[nodiscard]] bool AllowsRetry() const noexcept { return tokens_ >= 1; }
-  [[nodiscard]] RetryBudget AfterSuccess() const noexcept;
+  [[nodiscard]] RetryBudget AfterRequest() const noexcept;
   [[nodiscard]] RetryBudget AfterRetry() const noexcept;
 
   auto operator<=>(const RetryBudget&) const = default;
--- a/include/geraniumpin/version/version_store.hpp
+++ b/include/geraniumpin/version/version_store.hpp
@@ -24,6 +24,8 @@
   const VersionId to_;
   const std::map<std::string, SharedBytes> changed_;
   const std::vector<std::string> removed_;
+  /// The values of changed parts, where this node encoded them itself and need not decode them.
+  const DecodedParts decoded_{};
 };
 
 /// \brief Why a version was not applied.
@@ -140,6 +142,10 @@
       builder.Add(name, std::move(reused));
       continue;
     }
+    if (const auto known = aDelta.decoded_.find(name); known != aDelta.decoded_.end()) {
+      builder.Add(name, known->second);
+      continue;
+    }
     auto decoded = aCodec.Decode(name, *merged->at(name));
     if (!decoded) {
       return RefuseInvalid(aDelta.to_, std::move(decoded.error()));
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -102,6 +102,7 @@
   }
   to.set_idempotency_key(aFrom.idempotencyKey_);
   to.set_remaining_us(Microseconds(aFrom.remaining_));
+  to.set_patience_us(Microseconds(aFrom.patience_));
 }
 
 Payload
@@ -121,7 +122,8 @@
                       .headers_ = ReadHeaders(aFrom.headers()),
                       .body_ = MakeBody(aFrom.body()),
                       .idempotencyKey_ = aFrom.idempotency_key(),
-                      .remaining_ = FromMicroseconds(aFrom.remaining_us()) };
+                      .remaining_ = FromMicroseconds(aFrom.remaining_us()),
+                      .patience_ = FromMicroseconds(aFrom.patience_us()) };
 }
 
 void
@@ -138,6 +140,8 @@
     to.set_body(*aFrom.answer_.body_);
   }
   to.set_retry_after_us(Microseconds(aFrom.answer_.retryAfter_));
+  to.set_queued_us(Microseconds(aFrom.queued_));
+  to.set_ran_us(Microseconds(aFrom.ran_));
   to.set_load(aFrom.hint_.load_);
   to.set_takes_work(aFrom.hint_.takesWork_);
 }
@@ -157,7 +161,9 @@
                                  .headers_ = ReadHeaders(aFrom.headers()),
                                  .body_ = MakeBody(aFrom.body()),
                                  .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) },
-                    .hint_ = { aFrom.load(), aFrom.takes_work() } };
+                    .hint_ = { aFrom.load(), aFrom.takes_work() },
+                    .queued_ = FromMicroseconds(aFrom.queued_us()),
+                    .ran_ = FromMicroseconds(aFrom.ran_us()) };
 }
 
 void
--- a/src/adapters/process/line_log.cpp
+++ b/src/adapters/process/line_log.cpp
@@ -105,7 +105,9 @@
     ++droppedSinceLine_;
     return;
   }
-  if (droppedSinceLine_ > 0 && pending_.size() < kMostPendingBytes / 2) {
+  const auto now = clock_.Now();
+  if (droppedSinceLine_ > 0 && now >= nextDroppedLine_) {
+    nextDroppedLine_ = now + kDroppedLinePeriod;
     LogEvent event("log_dropped", Severity::Warning);
     event.With("lines", std::exchange(droppedSinceLine_, 0));
     Append(impl::LineOf(event.Level(), event.Line()));
--- a/src/adapters/process/line_log.hpp
+++ b/src/adapters/process/line_log.hpp
@@ -4,6 +4,7 @@
 #include "system_clock.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -37,6 +38,9 @@
   /// Bytes kept while the reader does not read.
   static constexpr std::size_t kMostPendingBytes = 256 * 1024;
 
+  /// Least time between two lines about dropped lines.
+  static constexpr std::chrono::seconds kDroppedLinePeriod{ 1 };
+
   /// \param aDescriptor Made non-blocking.
   explicit LineLog(int aDescriptor);
 
@@ -66,6 +70,7 @@
   std::string pending_;
   std::uint64_t dropped_ = 0;
   std::uint64_t droppedSinceLine_ = 0;
+  TimePoint nextDroppedLine_{};
 };
 
 } // namespace geraniumpin
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -53,7 +53,8 @@
       return 409;
     case Reason::DeadlinePassed:
     case Reason::PeerSilent:
-      return 504;
+      // A refusal promises that the request has not run, which lets the caller repeat it.
+      return aAnswer.outcome_ == Outcome::NotRun ? 503 : 504;
     case Reason::ConnectionBroken:
       return 502;
     default:
--- a/src/connection/lease_holder.cpp
+++ b/src/connection/lease_holder.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::chrono::seconds kRateMemory{ 1 };
-constexpr double kLeastPrefetchRate = 20; // uses per second
+constexpr double kLeastPrefetchRate = 2; // uses per second
 
 double
 Seconds(Duration aDuration) noexcept
--- a/src/process/concurrency_controller.cpp
+++ b/src/process/concurrency_controller.cpp
@@ -97,7 +97,8 @@
   if (aSample.result_ == WorkResult::Shed) {
     const bool staleSignal = aSample.startedAt_ < changedAt_;
     if (!staleSignal) {
-      next.limit_ = impl::Clamped(limit_ * kShedFactor, ceiling_);
+      const double lowered = std::max(limit_ * kShedFactor, ceiling_ * kLeastShare);
+      next.limit_ = impl::Clamped(lowered, ceiling_);
       next.changedAt_ = aSample.endedAt_;
     }
     return next;
--- a/src/process/home_authority.cpp
+++ b/src/process/home_authority.cpp
@@ -7,8 +7,12 @@
 namespace geraniumpin {
 
 void
-HomeAuthority::Begin(std::uint64_t aNumber, const std::vector<NodeAddress>& aNodes, TimePoint aNow)
+HomeAuthority::Begin(std::uint64_t aNumber,
+                     const std::vector<NodeAddress>& aNodes,
+                     TimePoint aNow,
+                     Duration aWait)
 {
+  wait_ = aWait;
   active_ = true;
   number_ = aNumber;
   missing_ = { aNodes.begin(), aNodes.end() };
@@ -68,7 +72,7 @@
 HomeAuthority::TakeCompletion(std::uint64_t aOwnNumber, TimePoint aNow)
 {
   const bool complete = active_ && missing_.empty() && aOwnNumber >= highestStated_ &&
-                        aNow >= settledAt_ + kLeaseTerm + kLeaseMargin;
+                        aNow >= settledAt_ + wait_;
   if (complete) {
     active_ = false;
   }
@@ -81,7 +85,7 @@
   if (!active_) {
     return std::nullopt;
   }
-  return missing_.empty() ? settledAt_ + kLeaseTerm + kLeaseMargin : nextRepeat_;
+  return missing_.empty() ? settledAt_ + wait_ : nextRepeat_;
 }
 
 } // namespace geraniumpin
--- a/src/process/instance_hints.cpp
+++ b/src/process/instance_hints.cpp
@@ -1,5 +1,7 @@
 #include "geraniumpin/process/instance_hints.hpp"
 
+#include <algorithm>
+
 namespace geraniumpin {
 
 void
@@ -8,11 +10,18 @@
   auto& entry = entries_[aNode];
   entry.hint_ = aHint;
   entry.heardAt_ = aNow;
+  entry.sentSince_ = 0;
   if (!aHint.takesWork_) {
     entry.avoidUntil_ = aNow + kAvoidance;
   }
 }
 
+void
+InstanceHints::OnSent(const NodeAddress& aNode)
+{
+  ++entries_[aNode].sentSince_;
+}
+
 void
 InstanceHints::Avoid(const NodeAddress& aNode, TimePoint aNow)
 {
@@ -20,15 +29,16 @@
 }
 
 LoadHint
-InstanceHints::HintOf(const NodeAddress& aNode, TimePoint aNow) const
+InstanceHints::HintOf(const BackendServer& aServer, std::uint32_t aSlots, TimePoint aNow) const
 {
-  const auto found = entries_.find(aNode);
+  const auto found = entries_.find(aServer.node_);
   if (found == entries_.end()) {
     return {};
   }
   const auto& entry = found->second;
   const bool fresh = aNow - entry.heardAt_ < kHintAge;
-  return { .load_ = fresh ? entry.hint_.load_ : 0, .takesWork_ = aNow >= entry.avoidUntil_ };
+  const double sent = static_cast<double>(entry.sentSince_) / std::max(1U, aSlots);
+  return { .load_ = (fresh ? entry.hint_.load_ : 0) + sent, .takesWork_ = aNow >= entry.avoidUntil_ };
 }
 
 std::vector<Candidate>
@@ -51,7 +61,10 @@
         aTried.contains(backendServer.node_)) {
       continue;
     }
-    const auto hint = HintOf(backendServer.node_, aNow);
+    const auto hint = HintOf(
+      backendServer,
+      backendServer.slots_ > 0 ? backendServer.slots_ : service->slots_,
+      aNow);
     const bool usable = hint.takesWork_ && aMembers.TakesWork(backendServer.node_);
     (usable ? preferred : avoided)
       .push_back({ .backendServer_ = &backendServer,
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -201,6 +201,14 @@
   return events;
 }
 
+std::optional<TimePoint>
+Membership::HeardAt(const NodeAddress& aNode) const
+{
+  const auto found = members_.find(aNode);
+  const bool heard = found != members_.end() && found->second.heardAt_ != TimePoint{};
+  return heard ? std::optional(found->second.heardAt_) : std::nullopt;
+}
+
 std::uint64_t
 Membership::IncarnationOf(const NodeAddress& aNode) const
 {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -95,6 +95,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::LimitTolerance(double aShare)
+{
+  settings_.limitTolerance_ = aShare;
+  return *this;
+}
+
 SettingsBuilder&
 SettingsBuilder::ReadyAddress(NodeAddress aAddress)
 {
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -24,10 +24,10 @@
 }
 
 RetryBudget
-RetryBudget::AfterSuccess() const noexcept
+RetryBudget::AfterRequest() const noexcept
 {
   auto next = *this;
-  next.tokens_ = std::min(kMostRetries, tokens_ + kRetriesPerSuccess);
+  next.tokens_ = std::min(kMostRetries, tokens_ + kRetriesPerRequest);
   return next;
 }
 
