--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -141,10 +141,10 @@
   /// \brief Running and queued requests as a share of the concurrency limit.
   ///
   /// A backend server that refuses counts as loaded: it answers so fast that it would seem idle.
-  [[nodiscard]] double Load() const
+  [[nodiscard]] double Load(TimePoint aNow) const
   {
     const double share = (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
-    return share + shedShare_;
+    return std::max(share, gate_.Load(aNow)) + shedShare_;
   }
 
 private:
--- a/include/geraniumpin/process/cold_gate.hpp
+++ b/include/geraniumpin/process/cold_gate.hpp
@@ -3,7 +3,6 @@
 #include "geraniumpin/process/clock.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -44,10 +43,7 @@
   [[nodiscard]] bool IsCold(TimePoint aNow) const noexcept { return reported_ || aNow < until_; }
 
   /// \brief Says whether another request may start.
-  [[nodiscard]] bool Allows(TimePoint aNow) const
-  {
-    return !IsLimiting(aNow) || CountSince(aNow - kWindow) < Most();
-  }
+  [[nodiscard]] bool Allows(TimePoint aNow) const { return aNow >= OpensAt(aNow); }
 
   /// \brief Notes that a request starts; also while the instance is warm, since it may turn cold.
   void Count(TimePoint aNow)
@@ -61,22 +57,46 @@
   /// \brief When another request may start, if none may now.
   [[nodiscard]] std::optional<TimePoint> NextDeadline(TimePoint aNow) const
   {
-    if (Allows(aNow)) {
-      return std::nullopt;
-    }
-    const auto opens = starts_[starts_.size() - Most()] + kWindow;
-    return reported_ ? opens : std::min(opens, std::max(until_, aNow));
+    const auto opens = OpensAt(aNow);
+    return opens <= aNow ? std::nullopt : std::optional(opens);
+  }
+
+  /// \brief Starts of the last second as a share of what a cold instance bears; 0 while it is warm.
+  [[nodiscard]] double Load(TimePoint aNow) const
+  {
+    return IsLimiting(aNow) ? static_cast<double>(CountSince(aNow - kWindow)) / perSecond_ : 0;
   }
 
 private:
+  /// Requests that may start without a pause after a quiet moment, as a share of the rate.
+  static constexpr double kBurstShare = 0.25;
+
   [[nodiscard]] bool IsLimiting(TimePoint aNow) const noexcept
   {
     return perSecond_ > 0 && IsCold(aNow);
   }
 
-  [[nodiscard]] std::size_t Most() const noexcept
+  /// Paces the starts over the second, and keeps each second within the rate.
+  [[nodiscard]] TimePoint OpensAt(TimePoint aNow) const
+  {
+    if (!IsLimiting(aNow)) {
+      return aNow;
+    }
+    const auto most = std::max<std::size_t>(1, static_cast<std::size_t>(perSecond_));
+    const auto burst =
+      std::max<std::size_t>(1, static_cast<std::size_t>(perSecond_ * kBurstShare));
+    const auto burstTime = std::chrono::duration_cast<Duration>(kWindow * kBurstShare);
+    auto opens = std::max(OpensAfter(most, kWindow), OpensAfter(burst, burstTime));
+    if (!reported_) {
+      opens = std::min(opens, std::max(until_, aNow));
+    }
+    return opens;
+  }
+
+  /// When fewer than that many starts lie within the time.
+  [[nodiscard]] TimePoint OpensAfter(std::size_t aMost, Duration aTime) const
   {
-    return static_cast<std::size_t>(std::max(1.0, std::floor(perSecond_)));
+    return starts_.size() < aMost ? TimePoint{} : starts_[starts_.size() - aMost] + aTime;
   }
 
   [[nodiscard]] std::size_t CountSince(TimePoint aTime) const
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -255,6 +255,7 @@
     }
     aCall.stage_ = EntryStage::AtOwner;
     aCall.owner_ = chosen->node_;
+    aCall.instance_ = chosen->name_;
     aCall.tried_.insert(chosen->node_);
     ++aCall.attempts_;
     const auto& call = aCall.call_;
@@ -295,12 +296,18 @@
     const auto& decision = aCall.decision_;
     // Instances come and go faster than routes change, so the newest list of them counts.
     const auto& snapshot = context_.Versions().Current();
-    const auto candidates = hints_.Candidates(*snapshot,
-                                              aCall.service_,
-                                              context_.Members(),
-                                              context_.NodeSettings().FailureDomainName(),
-                                              aCall.tried_,
-                                              context_.Now());
+    const bool onlyKnown = aCall.instances_.size() >= decision.route_.attempts_;
+    auto candidates = hints_.Candidates(*snapshot,
+                                        aCall.service_,
+                                        context_.Members(),
+                                        context_.NodeSettings().FailureDomainName(),
+                                        onlyKnown ? std::set<NodeAddress>{} : aCall.tried_,
+                                        context_.Now());
+    if (onlyKnown) {
+      std::erase_if(candidates, [&](const Candidate& aCandidate) {
+        return !aCall.instances_.contains(aCandidate.backendServer_->name_);
+      });
+    }
     const auto narrowed = hints_.Narrow(aCall.service_, candidates);
     const auto bodyBytes = aCall.call_.body_ ? aCall.call_.body_->size() : 0;
     const auto* chosen = ChooseInstance(narrowed, bodyBytes, context_.Outside().random_);
@@ -327,14 +334,17 @@
       aCall.tried_.erase(aCall.owner_); // its reply has told the new incarnation
     }
     const bool reached = MayHaveReachedInstance(aAnswer.outcome_, aAnswer.reason_);
-    aCall.sends_ += reached ? 1 : 0;
+    if (reached) {
+      ++aCall.sends_;
+      aCall.instances_.insert(aCall.instance_);
+    }
     const RetryFacts facts{ .outcome_ = aAnswer.outcome_,
                             .reason_ = aAnswer.reason_,
                             .idempotent_ = aCall.decision_.route_.idempotent_,
                             .beforeDeadline_ = context_.Now() < aCall.deadline_,
                             .attempts_ = aCall.attempts_,
-                            .sends_ = aCall.sends_,
-                            .mostSends_ = aCall.decision_.route_.attempts_ };
+                            .instances_ = static_cast<std::uint32_t>(aCall.instances_.size()),
+                            .mostInstances_ = aCall.decision_.route_.attempts_ };
     auto& budget = retries_[aCall.service_];
     if (!MayRetry(facts, budget)) {
       Finish(aCall, aAnswer);
--- a/include/geraniumpin/process/home_authority.hpp
+++ b/include/geraniumpin/process/home_authority.hpp
@@ -58,6 +58,7 @@
   std::set<NodeAddress> settled_;
   TimePoint settledAt_;
   TimePoint nextRepeat_;
+  TimePoint recheckAt_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -27,6 +27,8 @@
   static constexpr std::chrono::seconds kAttemptMemory{ 15 };
   /// Time for which an instance without a stated cold time counts as cold after a start.
   static constexpr std::chrono::milliseconds kDefaultColdTime{ 3000 };
+  /// Time after which the platform shows that an instance has turned cold: two of its reports.
+  static constexpr std::chrono::milliseconds kColdReportLag{ 2000 };
 
   OwnerService(NodeContext<Env>& aContext, CallTokens& aTokens)
     : context_(aContext)
@@ -71,7 +73,7 @@
     gate.SetReported(server.cold_);
     if (inService_ && !wasInService && hasBeenOut_) {
       admission_.Restart(InstanceController::For(server.slots_ > 0), slots);
-      gate.CloseUntil(context_.Now() + coldTime_);
+      gate.CloseUntil(context_.Now() + std::min<Duration>(coldTime_, kColdReportLag));
     }
     hasBeenOut_ = hasBeenOut_ || !inService_;
     WriteInstance(server, slots, isOther);
@@ -337,7 +339,7 @@
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
                              .answer_ = aAnswer,
-                             .hint_ = { admission_.Load(), takesWork },
+                             .hint_ = { admission_.Load(context_.Now()), takesWork },
                              .queued_ = aQueued,
                              .ran_ = aRan });
   }
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -27,6 +27,8 @@
   std::string service_;        ///< the destination that the request was dealt to
   std::uint32_t attempts_ = 0; ///< messages to owner nodes
   std::uint32_t sends_ = 0;    ///< attempts that may have reached an instance
+  std::set<std::string> instances_; ///< those that they may have reached
+  std::string instance_;            ///< of the last attempt
   std::optional<Answer> lastRefusal_; ///< how the last attempt ended, if another one follows
   NodeAddress owner_;
   TimePoint firstSentAt_{}; ///< when the first attempt left; zero before
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -16,8 +16,8 @@
   const bool idempotent_ = false;
   const bool beforeDeadline_ = false;
   const std::uint32_t attempts_ = 0; ///< attempts made so far, also those that owners refused
-  const std::uint32_t sends_ = 0;    ///< attempts that may have reached an instance
-  const std::uint32_t mostSends_ = kDefaultAttempts; ///< as the route says
+  const std::uint32_t instances_ = 0; ///< instances that attempts may have reached
+  const std::uint32_t mostInstances_ = kDefaultAttempts; ///< as the route says
 };
 
 /// \brief Limits the retries of one service at one node to a share of its requests.
@@ -47,6 +47,9 @@
 /// \brief Attempts that one request may make, those included that owner nodes refused.
 inline constexpr std::uint32_t kMostAttempts = 5;
 
+/// \brief Attempts of one request that instances may refuse.
+inline constexpr std::uint32_t kMostSheds = 4;
+
 /// \brief Owner nodes that one request may ask which are too busy to take it.
 ///
 /// The second one is where a full failure domain spills over to; more would multiply the messages
--- a/src/process/home_authority.cpp
+++ b/src/process/home_authority.cpp
@@ -19,6 +19,7 @@
   settled_.clear();
   settledAt_ = aNow;
   nextRepeat_ = aNow;
+  recheckAt_ = aNow;
 }
 
 void
@@ -71,12 +72,15 @@
 bool
 HomeAuthority::TakeCompletion(std::uint64_t aOwnNumber, TimePoint aNow)
 {
-  const bool complete = active_ && missing_.empty() && aOwnNumber >= highestStated_ &&
-                        aNow >= settledAt_ + wait_;
-  if (complete) {
-    active_ = false;
+  if (!active_ || !missing_.empty() || aNow < settledAt_ + wait_) {
+    return false;
   }
-  return complete;
+  if (aOwnNumber < highestStated_) {
+    recheckAt_ = aNow + kRepeat; // the version that a node stated is still on its way here
+    return false;
+  }
+  active_ = false;
+  return true;
 }
 
 std::optional<TimePoint>
@@ -85,7 +89,7 @@
   if (!active_) {
     return std::nullopt;
   }
-  return missing_.empty() ? settledAt_ + wait_ : nextRepeat_;
+  return missing_.empty() ? std::max(settledAt_ + wait_, recheckAt_) : nextRepeat_;
 }
 
 } // namespace geraniumpin
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -46,6 +46,9 @@
     return false;
   }
   const bool safe = aFacts.outcome_ == Outcome::NotRun || aFacts.idempotent_;
+  // An instance that refused has not run the request, so the same one may be asked again.
+  const bool allowed = aFacts.instances_ < aFacts.mostInstances_ ||
+                       (aFacts.reason_ == Reason::Shed && aFacts.attempts_ < kMostSheds);
   const bool busy =
     aFacts.reason_ == Reason::Overloaded || aFacts.reason_ == Reason::DeadlinePassed;
   if (busy && aFacts.attempts_ >= kMostBusyOwners) {
@@ -54,7 +57,7 @@
   // A repetition of what no instance has seen burdens none.
   const bool reached = MayHaveReachedInstance(aFacts.outcome_, aFacts.reason_);
   return safe && aFacts.beforeDeadline_ && aFacts.attempts_ < kMostAttempts &&
-         aFacts.sends_ < aFacts.mostSends_ && (!reached || aBudget.AllowsRetry());
+         allowed && (!reached || aBudget.AllowsRetry());
 }
 
 } // namespace geraniumpin
--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -118,12 +118,12 @@
   Admission<int> admission(9);
   BOOST_REQUIRE(admission.Offer(Work(1, "a"), kStart));
   (void)admission.OnEnd(WorkResult::Shed, kStart, kStart);
-  BOOST_TEST(admission.Load() >= 1);
+  BOOST_TEST(admission.Load(kStart) >= 1);
   // One success among refusals is not enough to look idle, several are.
   for (int i = 2; i <= 12; ++i) {
     BOOST_REQUIRE(admission.Offer(Work(i, "a"), kStart));
     (void)admission.OnEnd(WorkResult::Success, kStart, kStart + milliseconds(5));
-    BOOST_TEST((i > 2 || admission.Load() > 0.5));
+    BOOST_TEST((i > 2 || admission.Load(kStart) > 0.5));
   }
-  BOOST_TEST(admission.Load() < 0.1);
+  BOOST_TEST(admission.Load(kStart) < 0.1);
 }
