--- /dev/null
+++ b/tests/connection/http_client_test.cpp
@@ -0,0 +1,277 @@
+#define BOOST_TEST_MODULE http_client
+#include "../../src/adapters/connection/http_client.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+
+#include <arpa/inet.h>
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace geraniumpin;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A server under the test's control, on a loopback port of its own.
+class ScriptedServer
+{
+public:
+  ScriptedServer()
+    : listener_(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    std::signal(SIGPIPE, SIG_IGN);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    BOOST_REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    BOOST_REQUIRE(listen(listener_, 8) == 0);
+    socklen_t length = sizeof address;
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    address_ = *NodeAddress::Parse("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    fcntl(listener_, F_SETFL, O_NONBLOCK);
+  }
+  ~ScriptedServer()
+  {
+    close(listener_);
+    CloseConnection();
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  [[nodiscard]] const NodeAddress& Address() const { return address_; }
+  [[nodiscard]] int Accepted() const { return accepted_; }
+
+  /// Takes the next connection, if there is one.
+  void Accept()
+  {
+    const int fd = accept(listener_, nullptr, nullptr);
+    if (fd >= 0) {
+      CloseConnection();
+      connection_ = fd;
+      fcntl(fd, F_SETFL, O_NONBLOCK);
+      ++accepted_;
+    }
+  }
+
+  /// Reads what has come so far.
+  std::string Read()
+  {
+    std::string text(65536, '\0');
+    const auto got = connection_ < 0 ? 0 : recv(connection_, text.data(), text.size(), 0);
+    text.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return text;
+  }
+
+  void Write(const std::string& aText)
+  {
+    BOOST_REQUIRE(send(connection_, aText.data(), aText.size(), 0) ==
+                  static_cast<ssize_t>(aText.size()));
+  }
+
+  void CloseConnection()
+  {
+    if (connection_ >= 0) {
+      close(connection_);
+      connection_ = -1;
+    }
+  }
+
+  void ResetConnection()
+  {
+    const linger now{ 1, 0 };
+    setsockopt(connection_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    CloseConnection();
+  }
+
+private:
+  int listener_;
+  int connection_ = -1;
+  int accepted_ = 0;
+  NodeAddress address_;
+};
+
+struct Fixture
+{
+  /// Sends a request that the server must have read when this returns.
+  std::shared_ptr<std::optional<HttpResult>> Send(const std::string& aId,
+                                                  const std::string& aBody = "")
+  {
+    auto result = std::make_shared<std::optional<HttpResult>>();
+    const HttpRequest request{ .method_ = aBody.empty() ? "GET" : "POST",
+                               .host_ = "shop.example",
+                               .path_ = "/x",
+                               .headers_ = { { "id", aId } },
+                               .body_ = MakeBody(aBody) };
+    last_ = client_.Start(server_.Address(), request, { "id", aId }, [result](const auto& aResult) {
+      result->emplace(aResult);
+    });
+    std::string seen;
+    for (int i = 0; i < 100 && seen.find("\r\n\r\n") == std::string::npos; ++i) {
+      Turn();
+      server_.Accept();
+      seen += server_.Read();
+    }
+    BOOST_REQUIRE(seen.find("id: " + aId) != std::string::npos);
+    return result;
+  }
+
+  void Turn(int aTimes = 1)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      loop_.RunOnce(clock_.Now() + milliseconds(5));
+    }
+  }
+
+  static std::string AnswerTo(const std::string& aId, const std::string& aBody)
+  {
+    return "HTTP/1.1 200 OK\r\nid: " + aId + "\r\ncontent-length: " + std::to_string(aBody.size()) +
+           "\r\n\r\n" + aBody;
+  }
+
+  SystemClock clock_;
+  EventLoop loop_;
+  ScriptedServer server_;
+  HttpClient client_{ loop_, { milliseconds(4000), 1U << 20U } };
+  ClientExchangeId last_ = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_connection_serves_several_requests, Fixture)
+{
+  for (const std::string id : { "a", "b", "c" }) {
+    const auto result = Send(id);
+    server_.Write(AnswerTo(id, "body " + id));
+    Turn(5);
+    BOOST_REQUIRE(result->has_value());
+    BOOST_TEST(((*result)->end_ == HttpEnd::Complete));
+    BOOST_TEST(*(*result)->response_.body_ == "body " + id);
+  }
+  BOOST_TEST(server_.Accepted() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_answer_to_an_earlier_request_is_dropped, Fixture)
+{
+  const auto result = Send("b");
+  server_.Write(AnswerTo("a", "not yours"));
+  Turn(5);
+  BOOST_TEST(!result->has_value());
+  server_.Write(AnswerTo("b", "yours"));
+  Turn(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(*(*result)->response_.body_ == "yours");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_without_length_is_complete_only_if_its_connection_ends_in_order,
+                        Fixture)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nid: a\r\nconnection: close\r\n\r\nsome bytes";
+  const auto ended = Send("a");
+  server_.Write(head);
+  Turn(3);
+  server_.CloseConnection();
+  Turn(5);
+  BOOST_REQUIRE(ended->has_value());
+  BOOST_TEST(((*ended)->end_ == HttpEnd::Complete));
+  BOOST_TEST(*(*ended)->response_.body_ == "some bytes");
+
+  const auto reset = Send("a");
+  server_.Write(head);
+  Turn(3);
+  server_.ResetConnection();
+  Turn(5);
+  BOOST_REQUIRE(reset->has_value());
+  BOOST_TEST(((*reset)->end_ == HttpEnd::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cut_answer_is_broken, Fixture)
+{
+  const auto result = Send("a");
+  server_.Write("HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 100\r\n\r\nhalf");
+  Turn(3);
+  server_.CloseConnection();
+  Turn(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(((*result)->end_ == HttpEnd::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(bytes_after_an_answer_close_the_connection, Fixture)
+{
+  const auto first = Send("a");
+  server_.Write(AnswerTo("a", "one") + AnswerTo("a", "two"));
+  Turn(5);
+  BOOST_REQUIRE(first->has_value());
+  BOOST_TEST(*(*first)->response_.body_ == "one");
+  const auto second = Send("b");
+  BOOST_TEST(server_.Accepted() == 2);
+  server_.Write(AnswerTo("b", "fresh"));
+  Turn(5);
+  BOOST_TEST(*(*second)->response_.body_ == "fresh");
+}
+
+BOOST_FIXTURE_TEST_CASE(bytes_on_an_idle_connection_close_it, Fixture)
+{
+  const auto first = Send("a");
+  server_.Write(AnswerTo("a", "one"));
+  Turn(5);
+  BOOST_REQUIRE(first->has_value());
+  server_.Write(AnswerTo("b", "unasked"));
+  Turn(5);
+  const auto second = Send("b");
+  BOOST_TEST(server_.Accepted() == 2);
+  BOOST_TEST(!second->has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(what_is_no_http_is_broken, Fixture)
+{
+  const auto result = Send("a");
+  server_.Write("\x01\x02 nonsense\r\n\r\n");
+  Turn(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(((*result)->end_ == HttpEnd::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_early_answer_leaves_the_rest_of_the_body_to_be_sent, Fixture)
+{
+  const std::string body(8U << 20U, 'x');
+  const auto result = Send("a", body);
+  server_.Write(AnswerTo("a", "enough"));
+  Turn(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(*(*result)->response_.body_ == "enough");
+  // The server reads on: what comes is the body and nothing else.
+  std::size_t rest = 0;
+  for (int i = 0; i < 2000 && rest < body.size(); ++i) {
+    const auto text = server_.Read();
+    BOOST_REQUIRE(text.find_first_not_of('x') == std::string::npos);
+    rest += text.size();
+    Turn();
+  }
+  BOOST_TEST(rest > body.size() / 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cancelled_exchange_closes_its_connection_and_calls_nobody, Fixture)
+{
+  const auto result = Send("a");
+  client_.Cancel(last_);
+  Turn(3);
+  BOOST_TEST(!result->has_value());
+  server_.Write("x"); // the first write after the close may still succeed
+  Turn(3);
+  BOOST_TEST(server_.Read().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refused_connection_is_reported_from_the_loop, Fixture)
+{
+  std::optional<HttpEnd> end;
+  const HttpRequest request{ .method_ = "GET", .path_ = "/" };
+  client_.Start(*NodeAddress::Parse("127.0.0.1:1"), request, {}, [&](const HttpResult& aResult) {
+    end = aResult.end_;
+  });
+  BOOST_TEST(!end.has_value());
+  Turn(5);
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((*end == HttpEnd::ConnectFailed));
+}
--- /dev/null
+++ b/tests/request/destination_choice_test.cpp
@@ -0,0 +1,58 @@
+#define BOOST_TEST_MODULE destination_choice
+#include "geraniumpin/request/destination_choice.hpp"
+#include "geraniumpin/request/queue_patience.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+
+using namespace geraniumpin;
+using std::chrono::milliseconds;
+
+namespace {
+
+Route
+SplitRoute(std::uint32_t aLarge, std::uint32_t aSmall)
+{
+  return { .name_ = "split", .destinations_ = { { "large", aLarge }, { "small", aSmall } } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_shares_hold_over_two_hundred_requests_of_many_nodes)
+{
+  // Twelve nodes with a few requests each, each node at its own start.
+  for (const std::uint32_t small : { 5U, 10U, 50U }) {
+    const auto route = SplitRoute(100 - small, small);
+    int toSmall = 0;
+    int total = 0;
+    for (int node = 0; node < 12; ++node) {
+      DestinationChoice choice;
+      for (int i = 0; i < 17; ++i) {
+        toSmall += choice.Next(route, node / 12.0) == "small" ? 1 : 0;
+        ++total;
+      }
+    }
+    BOOST_TEST(std::abs(static_cast<double>(toSmall) / total - small / 100.0) < 0.1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(new_weights_take_hold_at_once)
+{
+  DestinationChoice choice;
+  for (int i = 0; i < 50; ++i) {
+    (void)choice.Next(SplitRoute(100, 0), 0);
+  }
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST(choice.Next(SplitRoute(0, 100), 0) == "small");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(patience_is_a_share_of_the_target_less_what_has_passed)
+{
+  const Route keyed{ .timeout_ = milliseconds(1000), .targetLatency_ = milliseconds(200) };
+  BOOST_TEST((QueuePatience(keyed, {}, milliseconds(500)) == milliseconds(60)));
+  BOOST_TEST((QueuePatience(keyed, milliseconds(20), milliseconds(500)) == milliseconds(40)));
+  BOOST_TEST((QueuePatience(keyed, milliseconds(90), milliseconds(500)) == kLeastPatience));
+  BOOST_TEST((QueuePatience(keyed, {}, milliseconds(2)) == milliseconds(2)));
+  const Route open{ .access_ = Access::Open, .timeout_ = milliseconds(200) };
+  BOOST_TEST((QueuePatience(open, {}, milliseconds(100)) == milliseconds(50)));
+}
