A quiet owner is asked for a sign of life before its requests go elsewhere

Change: after 100 ms of silence the owner is asked; only another 100 ms of silence make it dead, and the request is given up only where it can be repeated. An attempt that may have run makes the last refusal unknown. Among instances of one place the sum of load and expected time counts.

Test: node_test a_long_request_at_a_quiet_owner_is_not_given_up (failed first: answered unknown after 100 ms).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
   libexpected-dev nlohmann-json3-dev libvalijson-dev libboost-dev libboost-test-dev libssl-dev \
   libxxhash-dev liblua5.4-dev zlib1g-dev
 
-.PHONY: setup print-packages build demo test bench format lint check-core clean
+.PHONY: setup print-packages build demo test bench format lint check-core check-platform \
+  deploy-build clean
 
 print-packages:
 	@echo $(PACKAGES)
@@ -48,5 +49,18 @@
 	  include src/request src/connection src/version src/process; then \
 	  echo "core files must not include transports or encoders"; exit 1; fi
 
+# The names of the users' platform stay in its adapter.
+check-platform:
+	@if grep -rnE 'kv-(key|range|watch)|op/(config|evacuate)|weighted_services|cold_remaining|local_app|geraniumpin-(tenant|expected-instance|not-executed|response-seal|caller-service)' \
+	  include src daemon cli proto; then \
+	  echo "names of the users' platform belong to platform/"; exit 1; fi
+	@if [ "$$(cat platform/*.hpp platform/*.cpp | wc -l)" -ge 900 ]; then \
+	  echo "platform/ must stay below 900 lines"; exit 1; fi
+
+# What deploy/system.toml builds.
+deploy-build: setup
+	@cmake -S . -B $(BUILD)-deploy -G Ninja -DCMAKE_BUILD_TYPE=Release -DGERANIUMPIN_DEPLOY=ON >/dev/null
+	@ninja -C $(BUILD)-deploy -j $(JOBS)
+
 clean:
-	rm -rf $(BUILD)
+	rm -rf $(BUILD) $(BUILD)-deploy
--- a/include/geraniumpin/process/cold_gate.hpp
+++ b/include/geraniumpin/process/cold_gate.hpp
@@ -83,8 +83,7 @@
       return aNow;
     }
     const auto most = std::max<std::size_t>(1, static_cast<std::size_t>(perSecond_));
-    const auto burst =
-      std::max<std::size_t>(1, static_cast<std::size_t>(perSecond_ * kBurstShare));
+    const auto burst = std::max<std::size_t>(1, static_cast<std::size_t>(perSecond_ * kBurstShare));
     const auto burstTime = std::chrono::duration_cast<Duration>(kWindow * kBurstShare);
     auto opens = std::max(OpensAfter(most, kWindow), OpensAfter(burst, burstTime));
     if (!reported_) {
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -27,10 +27,12 @@
 
   /// Longest wait of a request while every home node of its team has no token.
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
+  /// Time without a word from an owner after which its requests are tried elsewhere.
+  static constexpr std::chrono::milliseconds kSilenceCheck{ 100 };
   /// Share of the target latency that such a wait may take.
   static constexpr double kExhaustedShareOfTarget = 0.1;
-  /// When a request beyond the rate may be repeated: tokens come at a steady rate that others use up
-  /// as well, so an earlier repetition would mostly be refused again.
+  /// When a request beyond the rate may be repeated: tokens come at a steady rate that others use
+  /// up as well, so an earlier repetition would mostly be refused again.
   static constexpr std::chrono::milliseconds kOverRateRetryAfter{ 1000 };
   /// Least time between two looks at the same waiting requests.
   static constexpr std::chrono::milliseconds kLeastPause{ 1 };
@@ -99,6 +101,10 @@
     }
     found->second.queued_ = aReply.queued_;
     found->second.ran_ = aReply.ran_;
+    if (aReply.answer_.outcome_ == Outcome::Answered) {
+      const auto& call = found->second;
+      hints_.OnServed(call.owner_, call.decision_.route_.name_, aReply.ran_);
+    }
     OnAttemptEnd(found->second, aReply.answer_);
   }
 
@@ -123,6 +129,10 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       OnDeadline(calls_.at(deadlines_.begin()->second));
     }
+    while (!silenceChecks_.empty() && silenceChecks_.begin()->first <= now) {
+      const auto id = silenceChecks_.extract(silenceChecks_.begin()).value().second;
+      OnSilenceCheck(id);
+    }
     std::vector<std::string> teams;
     for (const auto& [team, ids] : waiting_) {
       teams.push_back(team);
@@ -138,9 +148,11 @@
       return std::nullopt;
     }
     auto next = deadlines_.begin()->first;
+    if (!silenceChecks_.empty()) {
+      next = std::min(next, silenceChecks_.begin()->first);
+    }
     for (const auto& [team, ids] : waiting_) {
-      const auto retryAt =
-        std::min(limits_.RetryAt(team), ExhaustedUntil(calls_.at(*ids.begin())));
+      const auto retryAt = std::min(limits_.RetryAt(team), ExhaustedUntil(calls_.at(*ids.begin())));
       next = std::min(next, std::max(retryAt, context_.Now() + kLeastPause));
     }
     return next;
@@ -262,6 +274,8 @@
     const auto now = context_.Now();
     const auto remaining = aCall.deadline_ - now;
     hints_.OnSent(chosen->node_);
+    aCall.sentAt_ = now;
+    silenceChecks_.emplace(now + kSilenceCheck, call.id_);
     context_.Send(chosen->node_,
                   CallRequest{ .id_ = call.id_,
                                .attempt_ = aCall.attempts_,
@@ -299,6 +313,7 @@
     const bool onlyKnown = aCall.instances_.size() >= decision.route_.attempts_;
     auto candidates = hints_.Candidates(*snapshot,
                                         aCall.service_,
+                                        decision.route_,
                                         context_.Members(),
                                         context_.NodeSettings().FailureDomainName(),
                                         onlyKnown ? std::set<NodeAddress>{} : aCall.tried_,
@@ -335,7 +350,7 @@
     }
     const bool reached = MayHaveReachedInstance(aAnswer.outcome_, aAnswer.reason_);
     if (reached) {
-      ++aCall.sends_;
+      aCall.mayHaveRun_ = aCall.mayHaveRun_ || aAnswer.outcome_ == Outcome::Unknown;
       aCall.instances_.insert(aCall.instance_);
     }
     const RetryFacts facts{ .outcome_ = aAnswer.outcome_,
@@ -362,9 +377,72 @@
     if (aCall.stage_ == EntryStage::AwaitsToken) {
       Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::LimitUnavailable));
     } else if (context_.Now() >= aCall.deadline_) {
-      hints_.Avoid(aCall.owner_, context_.Now());
+      const bool silent = IsOwnerSilent(aCall);
+      if (silent) {
+        hints_.Avoid(aCall.owner_, context_.Now());
+      }
+      context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempts_ });
+      const auto reason = silent ? Reason::PeerSilent : Reason::DeadlinePassed;
+      Finish(aCall, Answer::Refused(Outcome::Unknown, reason));
+    }
+  }
+
+  /// Says whether nothing came from the owner since the last attempt was sent to it.
+  [[nodiscard]] bool IsOwnerSilent(const EntryCall& aCall) const
+  {
+    if (aCall.owner_ == context_.Self()) {
+      return false;
+    }
+    const auto heardAt = context_.Members().HeardAt(aCall.owner_);
+    return !heardAt || *heardAt < aCall.sentAt_;
+  }
+
+  /// Passes over an owner that has gone silent, and tries idempotent requests elsewhere.
+  void OnSilenceCheck(const CallId& aId)
+  {
+    const auto found = calls_.find(aId);
+    if (found == calls_.end() || found->second.stage_ != EntryStage::AtOwner) {
+      return;
+    }
+    auto& call = found->second;
+    const auto now = context_.Now();
+    silenceChecks_.emplace(now + kSilenceCheck, aId);
+    const auto probe = silenceProbes_.find(call.owner_);
+    if (!IsOwnerSilent(call)) {
+      if (probe != silenceProbes_.end()) {
+        silenceProbes_.erase(probe);
+      }
+      return;
+    }
+    // An instance may work for long while its node has nothing else to say, so the node is asked.
+    if (probe == silenceProbes_.end()) {
+      silenceProbes_.emplace(call.owner_, now);
+      context_.Send(call.owner_, Heartbeat{ .wantsReply_ = true });
+      return;
+    }
+    if (now - probe->second >= kSilenceCheck) {
+      silenceProbes_.erase(probe);
+      OnSilentOwner(call);
+    }
+  }
+
+  void OnSilentOwner(EntryCall& aCall)
+  {
+    hints_.Avoid(aCall.owner_, context_.Now());
+    context_.Measures().Count("silent_owners");
+    context_.Write(LogEvent("owner_silent", Severity::Warning)
+                     .With("owner", aCall.owner_.Text())
+                     .With("call", ToString(aCall.call_.id_))
+                     .With("request", aCall.call_.requestId_));
+    const auto answer = Answer::Refused(Outcome::Unknown, Reason::PeerSilent);
+    const auto& route = aCall.decision_.route_;
+    auto instances = aCall.instances_;
+    instances.insert(aCall.instance_);
+    const bool mayTryElsewhere = route.idempotent_ && instances.size() < route.attempts_ &&
+                                 retries_[aCall.service_].AllowsRetry();
+    if (mayTryElsewhere) {
       context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempts_ });
-      Finish(aCall, Answer::Refused(Outcome::Unknown, Reason::PeerSilent));
+      OnAttemptEnd(aCall, answer);
     }
   }
 
@@ -375,15 +453,18 @@
     context_.Outside().callers_.Reply(aCall.id_, answer);
   }
 
-  void Finish(EntryCall& aCall, const Answer& aAnswer)
+  void Finish(EntryCall& aCall, const Answer& aLast)
   {
     const auto id = aCall.call_.id_;
-    WriteEnd(aCall.call_, aAnswer, &aCall);
-    if (aAnswer.outcome_ == Outcome::NotRun && aCall.token_) {
+    // An earlier attempt may have run, whatever became of the last one.
+    const bool untrue = aLast.outcome_ == Outcome::NotRun && aCall.mayHaveRun_;
+    const auto answer = untrue ? Answer::Refused(Outcome::Unknown, aLast.reason_) : aLast;
+    WriteEnd(aCall.call_, answer, &aCall);
+    if (answer.outcome_ == Outcome::NotRun && aCall.token_) {
       limits_.Refund(aCall.decision_.team_, *aCall.token_);
     }
     Remove(calls_.find(id));
-    context_.Outside().callers_.Reply(id, aAnswer);
+    context_.Outside().callers_.Reply(id, answer);
   }
 
   /// \param aAccepted Null if the request was refused on arrival.
@@ -449,6 +530,8 @@
   Calls calls_;
   std::map<std::string, std::set<CallId>> waiting_;
   std::set<std::pair<TimePoint, CallId>> deadlines_;
+  std::set<std::pair<TimePoint, CallId>> silenceChecks_;
+  std::map<NodeAddress, TimePoint> silenceProbes_; ///< owners that were asked for a sign of life
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/fair_queue.hpp
+++ b/include/geraniumpin/process/fair_queue.hpp
@@ -21,7 +21,7 @@
   std::string team_;
   Duration cost_{}; ///< expected time at the backend server
   TimePoint deadline_;
-  std::uint32_t rank_ = 0; ///< order among waiting requests, the lowest first
+  std::uint32_t rank_ = 0;                  ///< order among waiting requests, the lowest first
   TimePoint waitsUntil_ = TimePoint::max(); ///< leaves the queue then, if it has not started
 
   /// \brief When it leaves the queue at the latest.
--- a/include/geraniumpin/process/instance_hints.hpp
+++ b/include/geraniumpin/process/instance_hints.hpp
@@ -19,12 +19,19 @@
   static constexpr std::chrono::milliseconds kAvoidance{ 1000 };
   /// Time after which a load that nobody reported again counts as unknown.
   static constexpr std::chrono::milliseconds kHintAge{ 2000 };
+  /// Weight of the newest request in the smoothed time at an instance: an eighth.
+  static constexpr int kCostSmoothing = 8;
+  /// Routes per instance whose time is remembered.
+  static constexpr std::size_t kMostCosts = 64;
 
   void OnHint(const NodeAddress& aNode, const LoadHint& aHint, TimePoint aNow);
 
   /// \brief Notes that a request was sent to the node; it adds to the load that was reported last.
   void OnSent(const NodeAddress& aNode);
 
+  /// \brief Notes how long the instance behind the node took for a request of the route.
+  void OnServed(const NodeAddress& aNode, const std::string& aRoute, Duration aTook);
+
   /// \brief Passes the instance over for a while.
   void Avoid(const NodeAddress& aNode, TimePoint aNow);
 
@@ -34,6 +41,7 @@
   /// lately refused new work, and those already tried. If only avoided ones remain, they count.
   [[nodiscard]] std::vector<Candidate> Candidates(const Snapshot& aSnapshot,
                                                   const std::string& aService,
+                                                  const Route& aRoute,
                                                   const Membership& aMembers,
                                                   const std::string& aFailureDomain,
                                                   const std::set<NodeAddress>& aTried,
@@ -49,12 +57,15 @@
     LoadHint hint_;
     TimePoint heardAt_;
     TimePoint avoidUntil_;
-    std::uint32_t sentSince_ = 0; ///< requests sent since the load was reported
+    std::uint32_t sentSince_ = 0;           ///< requests sent since the load was reported
+    std::map<std::string, Duration> costs_; ///< smoothed time at the instance, by route
   };
 
   [[nodiscard]] LoadHint HintOf(const BackendServer& aServer,
                                 std::uint32_t aSlots,
                                 TimePoint aNow) const;
+  /// The expected time at the instance as a share of the route's target latency.
+  [[nodiscard]] double CostShare(const NodeAddress& aNode, const Route& aRoute) const;
 
   std::map<NodeAddress, Entry> entries_;
   std::map<std::string, bool> spilling_;
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -159,6 +159,7 @@
     const auto& service = decision->route_.destinations_.front().service_;
     const auto candidates = entry_.Hints().Candidates(*decision->snapshot_,
                                                       service,
+                                                      decision->route_,
                                                       context_.Members(),
                                                       context_.NodeSettings().FailureDomainName(),
                                                       {},
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -37,7 +37,7 @@
   /// the whole fleet into readers.
   static constexpr std::chrono::milliseconds kMostStandInBackoff{ 60000 };
   /// Least time between two reads; changes that come together cost one read.
-  static constexpr std::chrono::milliseconds kLeastGap{ 50 };
+  static constexpr std::chrono::milliseconds kLeastGap{ 150 };
   /// Time after which a node without duty looks again whether it has one.
   static constexpr std::chrono::milliseconds kDutyCheck{ 200 };
   /// Time for which one watch waits; short enough to notice a silent connection.
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -24,13 +24,14 @@
   const TimePoint deadline_;
   EntryStage stage_ = EntryStage::AwaitsToken;
   std::optional<SpentToken> token_;
-  std::string service_;        ///< the destination that the request was dealt to
-  std::uint32_t attempts_ = 0; ///< messages to owner nodes
-  std::uint32_t sends_ = 0;    ///< attempts that may have reached an instance
-  std::set<std::string> instances_; ///< those that they may have reached
-  std::string instance_;            ///< of the last attempt
+  std::string service_;               ///< the destination that the request was dealt to
+  std::uint32_t attempts_ = 0;        ///< messages to owner nodes
+  bool mayHaveRun_ = false;           ///< an attempt ended without a word on whether it ran
+  std::set<std::string> instances_;   ///< those that they may have reached
+  std::string instance_;              ///< of the last attempt
   std::optional<Answer> lastRefusal_; ///< how the last attempt ended, if another one follows
   NodeAddress owner_;
+  TimePoint sentAt_{};      ///< when the last attempt left
   TimePoint firstSentAt_{}; ///< when the first attempt left; zero before
   Duration queued_{};       ///< of the last attempt, as its owner reported
   Duration ran_{};          ///< of the last attempt at the instance
--- a/include/geraniumpin/request/instance_choice.hpp
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -23,6 +23,7 @@
   const BackendServer* backendServer_ = nullptr;
   LoadHint hint_;
   bool local_ = false; ///< in the failure domain of the entry node
+  double cost_ = 0;    ///< expected time at the instance as a share of the target latency
 };
 
 /// \brief Load above which an entry node sends work to other failure domains.
@@ -49,8 +50,11 @@
 /// \brief Size from which a body counts as large.
 inline constexpr std::size_t kLargeBodyBytes = 16384;
 
-/// \brief Draws two different candidates and takes the less loaded one.
-/// \returns Null if there is no candidate.
+/// \brief Draws two different candidates and takes the one with the lower sum of load and cost.
+///
+/// Answers the load pattern "slow instance": instances of a service differ in speed, and equal
+/// shares of their slots would make a part of the requests late. \returns Null if there is no
+/// candidate.
 template<Random R>
 [[nodiscard]] const Candidate*
 LighterOfTwo(const std::vector<const Candidate*>& aCandidates, R& aRandom)
@@ -64,7 +68,10 @@
   }
   const auto offset = 1 + DrawIndex(aRandom, aCandidates.size() - 1);
   const auto second = (first + offset) % aCandidates.size();
-  const bool firstIsLighter = aCandidates[first]->hint_.load_ <= aCandidates[second]->hint_.load_;
+  const auto weight = [&](std::size_t aIndex) {
+    return aCandidates[aIndex]->hint_.load_ + aCandidates[aIndex]->cost_;
+  };
+  const bool firstIsLighter = weight(first) <= weight(second);
   return aCandidates[firstIsLighter ? first : second];
 }
 
--- a/include/geraniumpin/request/outcome.hpp
+++ b/include/geraniumpin/request/outcome.hpp
@@ -42,7 +42,8 @@
 
 /// \brief Says whether a reason means that the instance takes no work at all for now.
 ///
-/// A full queue does not: the load that comes with the reply tells that already.
+/// A full queue does not, nor does a single refusal or broken connection of the instance: the load
+/// that comes with the reply tells that already.
 [[nodiscard]] bool
 SaysInstanceIsAway(Reason aReason) noexcept;
 
--- a/include/geraniumpin/request/queue_patience.hpp
+++ b/include/geraniumpin/request/queue_patience.hpp
@@ -7,8 +7,9 @@
 
 /// \brief Share of a route's target latency that a request may spend in queues.
 ///
-/// Answers the load pattern "burst": under lasting overload a short queue serves as many requests as
-/// a long one, in time instead of late, and those it refuses can still go elsewhere or come back.
+/// Answers the load pattern "burst": under lasting overload a short queue serves as many requests
+/// as a long one, in time instead of late, and those it refuses can still go elsewhere or come
+/// back.
 inline constexpr double kQueueShareOfTarget = 0.3;
 
 /// \brief Share of the remaining time that a call of a backend server may spend in a queue.
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -15,7 +15,7 @@
   const Reason reason_ = Reason::None;
   const bool idempotent_ = false;
   const bool beforeDeadline_ = false;
-  const std::uint32_t attempts_ = 0; ///< attempts made so far, also those that owners refused
+  const std::uint32_t attempts_ = 0;  ///< attempts made so far, also those that owners refused
   const std::uint32_t instances_ = 0; ///< instances that attempts may have reached
   const std::uint32_t mostInstances_ = kDefaultAttempts; ///< as the route says
 };
--- a/src/process/instance_hints.cpp
+++ b/src/process/instance_hints.cpp
@@ -22,6 +22,32 @@
   ++entries_[aNode].sentSince_;
 }
 
+void
+InstanceHints::OnServed(const NodeAddress& aNode, const std::string& aRoute, Duration aTook)
+{
+  auto& costs = entries_[aNode].costs_;
+  const auto known = costs.find(aRoute);
+  if (known != costs.end()) {
+    known->second += (aTook - known->second) / kCostSmoothing;
+  } else if (costs.size() < kMostCosts) {
+    costs.emplace(aRoute, aTook);
+  }
+}
+
+double
+InstanceHints::CostShare(const NodeAddress& aNode, const Route& aRoute) const
+{
+  const auto entry = entries_.find(aNode);
+  if (entry == entries_.end()) {
+    return 0;
+  }
+  const auto cost = entry->second.costs_.find(aRoute.name_);
+  if (cost == entry->second.costs_.end() || aRoute.targetLatency_.count() == 0) {
+    return 0;
+  }
+  return std::chrono::duration<double>(cost->second) / aRoute.targetLatency_;
+}
+
 void
 InstanceHints::Avoid(const NodeAddress& aNode, TimePoint aNow)
 {
@@ -38,12 +64,14 @@
   const auto& entry = found->second;
   const bool fresh = aNow - entry.heardAt_ < kHintAge;
   const double sent = static_cast<double>(entry.sentSince_) / std::max(1U, aSlots);
-  return { .load_ = (fresh ? entry.hint_.load_ : 0) + sent, .takesWork_ = aNow >= entry.avoidUntil_ };
+  const double load = (fresh ? entry.hint_.load_ : 0) + sent;
+  return { .load_ = load, .takesWork_ = aNow >= entry.avoidUntil_ };
 }
 
 std::vector<Candidate>
 InstanceHints::Candidates(const Snapshot& aSnapshot,
                           const std::string& aService,
+                          const Route& aRoute,
                           const Membership& aMembers,
                           const std::string& aFailureDomain,
                           const std::set<NodeAddress>& aTried,
@@ -61,15 +89,14 @@
         aTried.contains(backendServer.node_)) {
       continue;
     }
-    const auto hint = HintOf(
-      backendServer,
-      backendServer.slots_ > 0 ? backendServer.slots_ : service->slots_,
-      aNow);
+    const auto slots = backendServer.slots_ > 0 ? backendServer.slots_ : service->slots_;
+    const auto hint = HintOf(backendServer, slots, aNow);
     const bool usable = hint.takesWork_ && aMembers.TakesWork(backendServer.node_);
     (usable ? preferred : avoided)
       .push_back({ .backendServer_ = &backendServer,
                    .hint_ = hint,
-                   .local_ = backendServer.failureDomain_ == aFailureDomain });
+                   .local_ = backendServer.failureDomain_ == aFailureDomain,
+                   .cost_ = CostShare(backendServer.node_, aRoute) });
   }
   return preferred.empty() ? avoided : preferred;
 }
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -9,9 +9,7 @@
     case Reason::NotReady:
     case Reason::Draining:
     case Reason::OutOfService:
-    case Reason::Shed:
     case Reason::ConnectFailed:
-    case Reason::ConnectionBroken:
     case Reason::PeerSilent:
       return true;
     default:
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -56,8 +56,8 @@
   }
   // A repetition of what no instance has seen burdens none.
   const bool reached = MayHaveReachedInstance(aFacts.outcome_, aFacts.reason_);
-  return safe && aFacts.beforeDeadline_ && aFacts.attempts_ < kMostAttempts &&
-         allowed && (!reached || aBudget.AllowsRetry());
+  return safe && aFacts.beforeDeadline_ && aFacts.attempts_ < kMostAttempts && allowed &&
+         (!reached || aBudget.AllowsRetry());
 }
 
 } // namespace geraniumpin
--- a/tests/platform/store_items_test.cpp
+++ b/tests/platform/store_items_test.cpp
@@ -165,6 +165,5 @@
   BOOST_TEST((parse(503, "").result_ == ReadResult::Failed));
   BOOST_TEST((parse(200, "{}").result_ == ReadResult::Failed));
   BOOST_TEST((parse(200, "not json").result_ == ReadResult::Failed));
-  BOOST_TEST(StoreProtocol::PagePath("servers/i 1") ==
-             "/-/kv-range?prefix=&after=servers%2Fi%201");
+  BOOST_TEST(StoreProtocol::PagePath("servers/i 1") == "/-/kv-range?prefix=&after=servers%2Fi%201");
 }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -241,3 +241,39 @@
   BOOST_TEST(links.At(node).Status().version_.number_ == 3U);
   BOOST_TEST(links.At(node).Status().concurrencyLimit_ == 1.0);
 }
+
+BOOST_AUTO_TEST_CASE(a_long_request_at_a_quiet_owner_is_not_given_up)
+{
+  FakeLinks links(11);
+  StartAll(links, kSmall);
+  links.serviceTime_ = milliseconds(600); // no other traffic: the owner has nothing else to say
+  for (int i = 0; i < 12; ++i) {
+    const auto id = links.Call(NodeAt(1, 1), "small", i % 2 == 0 ? "GET" : "POST");
+    links.Run(milliseconds(900));
+    BOOST_REQUIRE(links.answers_.contains(id));
+    BOOST_TEST((links.answers_.at(id).outcome_ == Outcome::Answered));
+    BOOST_TEST(links.RunsOf(id) == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_idempotent_request_leaves_a_dead_owner_long_before_its_deadline)
+{
+  FakeLinks links(12);
+  const auto nodes = StartAll(links, kSmall);
+  std::size_t answered = 0;
+  for (const auto& node : nodes) {
+    if (node != NodeAt(1, 1)) {
+      links.Freeze(node);
+    }
+  }
+  std::vector<CallId> ids;
+  for (int i = 0; i < 8; ++i) {
+    ids.push_back(links.Call(NodeAt(1, 1), "", "GET", "/public/x"));
+    links.Run(milliseconds(400));
+    answered += links.answers_.contains(ids.back()) &&
+                    links.answers_.at(ids.back()).outcome_ == Outcome::Answered
+                  ? 1
+                  : 0;
+  }
+  BOOST_TEST(answered >= ids.size() - 1);
+}
--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -97,6 +97,21 @@
   BOOST_TEST(!DecideSpillOver(candidates(0.6), true));
 }
 
+BOOST_AUTO_TEST_CASE(the_faster_of_two_equally_loaded_instances_is_chosen)
+{
+  std::mt19937_64 random(1);
+  const BackendServer fast{ .name_ = "fast", .failureDomain_ = "z", .node_ = {} };
+  const BackendServer slow{ .name_ = "slow", .failureDomain_ = "z", .node_ = {} };
+  const auto choose = [&](double aFastLoad) {
+    const std::vector<Candidate> two{ { &fast, { aFastLoad, true }, true, 0.2 },
+                                      { &slow, { 0.4, true }, true, 0.6 } };
+    return ChooseInstance(two, 0, random)->name_;
+  };
+  BOOST_TEST(choose(0.4) == "fast");
+  BOOST_TEST(choose(0.7) == "fast");
+  BOOST_TEST(choose(0.9) == "slow"); // until it is busy
+}
+
 BOOST_AUTO_TEST_CASE(only_what_the_own_domain_has_no_room_for_leaves_it)
 {
   std::mt19937_64 random(1);
