Histograms and gauges as text, and the way of a request through the logs

geraniumpinctl trace joins the lines of several nodes by the caller's request id and says how it ended and where to look. GET /metrics/text serves counters, gauges and latency histograms; no label comes from callers.

--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -6,6 +6,9 @@
 #include "../src/adapters/process/system_clock.hpp"
 #include "../src/adapters/version/document_json.hpp"
 
+#include "trace.hpp"
+
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -335,6 +338,44 @@
   }
 }
 
+int
+ShowTrace(const Options& aOptions)
+{
+  Trace trace(aOptions.requestId_);
+  if (aOptions.logs_.empty()) {
+    trace.Read("-", std::cin);
+  }
+  for (const auto& path : aOptions.logs_) {
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << path << ": cannot be read\n";
+      return kExitBadInput;
+    }
+    trace.Read(path, file);
+  }
+  const auto lines = trace.Lines();
+  if (lines.empty()) {
+    std::cerr
+      << aOptions.requestId_
+      << ": in none of these logs; give the log of the node that took the request, and look "
+         "for event=log_dropped there\n";
+    return kExitNotAsAsked;
+  }
+  json all = json::array();
+  for (const auto& line : lines) {
+    all.push_back({ { "time", line.time_ }, { "from", line.from_ }, { "line", line.text_ } });
+    if (!aOptions.json_) {
+      std::cout << line.time_ << " " << line.from_ << " " << line.text_ << "\n";
+    }
+  }
+  if (aOptions.json_) {
+    std::cout << json{ { "lines", all }, { "verdict", Verdict(lines) } }.dump() << "\n";
+  } else {
+    std::cout << Verdict(lines) << "\n";
+  }
+  return kExitGood;
+}
+
 int
 Explain(const Options& aOptions)
 {
@@ -343,10 +384,10 @@
   if (!aOptions.key_.empty()) {
     headers.push_back({ "x-api-key", aOptions.key_ });
   }
-  const auto text =
-    reader.Get(aOptions.admin_,
-               "/explain?method=" + aOptions.method_ + "&path=" + PercentEncode(aOptions.path_),
-               headers);
+  const auto text = reader.Get(aOptions.admin_,
+                               "/explain?host=" + aOptions.host_ + "&method=" + aOptions.method_ +
+                                 "&path=" + PercentEncode(aOptions.path_),
+                               headers);
   if (!text) {
     return PrintNoAnswer("node " + aOptions.admin_);
   }
--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace geraniumpin::cli {
 
@@ -17,6 +18,9 @@
   std::string method_ = "GET";
   std::string path_;
   std::string key_;
+  std::string host_;
+  std::string requestId_;
+  std::vector<std::string> logs_;
 };
 
 inline constexpr int kExitGood = 0;
@@ -40,6 +44,10 @@
 [[nodiscard]] int
 Explain(const Options& aOptions);
 
+/// \brief Prints the way of a request through the logs of several nodes.
+[[nodiscard]] int
+ShowTrace(const Options& aOptions);
+
 /// \brief Prints the metrics of one node.
 [[nodiscard]] int
 ShowMetrics(const Options& aOptions);
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -37,6 +37,12 @@
   explain->add_option("path", options.path_, "request path")->required();
   explain->add_option("--key", options.key_, "key of the caller");
 
+  explain->add_option("--host", options.host_, "host that the caller names");
+
+  auto* trace = app.add_subcommand("trace", "show the way of a request through logs");
+  trace->add_option("request", options.requestId_, "request id as the caller sent it")->required();
+  trace->add_option("logs", options.logs_, "log files; standard input if there are none");
+
   auto* metrics = app.add_subcommand("metrics", "show the metrics of a node");
   metrics->add_option("--node", options.admin_, "admin address of the node IP:PORT")->required();
 
@@ -50,5 +56,8 @@
   if (watch->parsed()) {
     return Watch(options);
   }
+  if (trace->parsed()) {
+    return ShowTrace(options);
+  }
   return explain->parsed() ? Explain(options) : ShowMetrics(options);
 }
--- /dev/null
+++ b/cli/trace.cpp
@@ -0,0 +1,107 @@
+#include "trace.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace geraniumpin::cli {
+
+namespace {
+
+/// What an operator should know about a reason.
+const std::map<std::string, std::string>&
+Explanations()
+{
+  static const std::map<std::string, std::string> kExplanations{
+    { "over_rate", "the team had no tokens left: compare its rate with lease_grant lines" },
+    { "limit_unavailable",
+      "no home of the team granted in time: look for home_claim, member_suspected" },
+    { "no_instance", "no instance takes work: look for instance, version_applied, owner_silent" },
+    { "overloaded", "the owner's queue for the team was full" },
+    { "deadline_passed", "it could not start, or did not end, in time: see queued_us and ran_us" },
+    { "draining", "the node or instance was stopping" },
+    { "out_of_service", "operators took the failure domain out" },
+    { "shed", "the instance refused before it started the work" },
+    { "connect_failed", "the instance could not be reached" },
+    { "connection_broken", "the connection to the instance broke after the request was sent" },
+    { "peer_silent",
+      "the owner node gave no sign of life: look for owner_silent, member_suspected" },
+    { "not_ready", "the node knew no confirmed configuration yet: look for node_start" },
+    { "no_route", "no route matched in the version that the node ran: see version_applied" },
+    { "key_unknown", "the key was not in the version that the node ran: see version_applied" },
+    { "key_missing", "the route wants a key and none came" },
+    { "cut_off", "the node heard neither the platform nor another failure domain for too long" },
+  };
+  return kExplanations;
+}
+
+} // namespace
+
+std::string
+FieldOf(const std::string& aLine, const std::string& aKey)
+{
+  const auto at = (" " + aLine).find(" " + aKey + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto begin = at + aKey.size() + 1;
+  return aLine.substr(begin, aLine.find(' ', begin) - begin);
+}
+
+void
+Trace::Read(const std::string& aName, std::istream& aLog)
+{
+  std::string line;
+  while (std::getline(aLog, line)) {
+    const auto time = line.find("ts=");
+    const auto event = line.find("event=");
+    if (time == std::string::npos || event == std::string::npos) {
+      continue;
+    }
+    const auto text = line.substr(event);
+    if (FieldOf(text, "request").empty() && FieldOf(text, "call").empty()) {
+      continue;
+    }
+    const auto prefix = line.substr(0, time);
+    lines_.push_back({ .time_ = FieldOf(line.substr(time), "ts"),
+                       .from_ = prefix.find_first_not_of(' ') == std::string::npos ? aName : prefix,
+                       .text_ = text });
+  }
+}
+
+std::vector<TraceLine>
+Trace::Lines() const
+{
+  std::set<std::string> calls;
+  for (const auto& line : lines_) {
+    if (FieldOf(line.text_, "request") == requestId_) {
+      calls.insert(FieldOf(line.text_, "call"));
+    }
+  }
+  std::vector<TraceLine> found;
+  for (const auto& line : lines_) {
+    if (calls.contains(FieldOf(line.text_, "call"))) {
+      found.push_back(line);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+std::string
+Verdict(const std::vector<TraceLine>& aLines)
+{
+  for (auto line = aLines.rbegin(); line != aLines.rend(); ++line) {
+    if (FieldOf(line->text_, "event") != "call_end") {
+      continue;
+    }
+    const auto reason = FieldOf(line->text_, "reason");
+    const auto known = Explanations().find(reason);
+    auto verdict = "ended " + FieldOf(line->text_, "outcome") + " (" + reason + ") after " +
+                   FieldOf(line->text_, "us") + " us";
+    return known == Explanations().end() ? verdict : verdict + ": " + known->second;
+  }
+  return "its end is not in these logs: look for event=log_dropped at its entry node";
+}
+
+} // namespace geraniumpin::cli
--- a/include/geraniumpin/process/metrics.hpp
+++ b/include/geraniumpin/process/metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "geraniumpin/process/clock.hpp"
 
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
@@ -27,6 +28,19 @@
   auto operator<=>(const DurationSummary&) const = default;
 };
 
+/// \brief How many durations lie at or below each bound; the bounds are the same for all.
+struct DurationHistogram
+{
+  /// Upper bounds in milliseconds; a last bucket without bound follows.
+  static constexpr std::array<double, 12> kBounds{ 0.5, 1,   2.5, 5,   10,   25,
+                                                   50,  100, 250, 500, 1000, 2500 };
+
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  double sum_ = 0; ///< milliseconds
+
+  auto operator<=>(const DurationHistogram&) const = default;
+};
+
 /// \brief Counters and duration distributions of one process.
 ///
 /// \code
@@ -44,6 +58,11 @@
     return counters_;
   }
   [[nodiscard]] std::map<std::string, DurationSummary> Durations() const;
+  [[nodiscard]] const std::map<std::string, DurationHistogram, std::less<>>& Histograms()
+    const noexcept
+  {
+    return histograms_;
+  }
 
 private:
   using Accumulator = boost::accumulators::accumulator_set<
@@ -55,6 +74,7 @@
 
   std::map<std::string, std::uint64_t, std::less<>> counters_;
   std::map<std::string, Accumulator, std::less<>> durations_;
+  std::map<std::string, DurationHistogram, std::less<>> histograms_;
 };
 
 } // namespace geraniumpin
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -1,6 +1,7 @@
 #include "admin_gateway.hpp"
 
 #include "../request/caller_gateway.hpp"
+#include "metrics_text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -54,6 +55,11 @@
     server_.Respond(aId, impl::JsonResponse(200, EncodeStatus(sources_.status_())));
   } else if (path == "/metrics") {
     server_.Respond(aId, impl::JsonResponse(200, Metrics()));
+  } else if (path == "/metrics/text") {
+    server_.Respond(aId,
+                    { .status_ = 200,
+                      .headers_ = { { "content-type", "text/plain; version=0.0.4" } },
+                      .body_ = MakeBody(MetricsText(sources_.metrics_(), sources_.status_())) });
   } else if (path == "/explain") {
     server_.Respond(aId, impl::JsonResponse(200, Explain(aRequest)));
   } else {
--- a/src/adapters/process/admin_gateway.hpp
+++ b/src/adapters/process/admin_gateway.hpp
@@ -27,7 +27,8 @@
     explain_;
 };
 
-/// \brief Serves operators: GET /status, /metrics and /explain?host=H&method=M&path=P, all as JSON.
+/// \brief Serves operators: GET /status, /metrics and /explain?host=H&method=M&path=P as JSON,
+/// /metrics/text for scrapers.
 class AdminGateway
 {
 public:
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -1,5 +1,6 @@
 #include "geraniumpin/process/metrics.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace geraniumpin {
@@ -34,7 +35,13 @@
                                      impl::kQuantiles))
               .first;
   }
-  found->second(std::chrono::duration<double, std::milli>(aDuration).count());
+  const double milliseconds = std::chrono::duration<double, std::milli>(aDuration).count();
+  found->second(milliseconds);
+  auto& histogram = histograms_.try_emplace(std::string(aName)).first->second;
+  const auto& bounds = DurationHistogram::kBounds;
+  const auto bound = std::lower_bound(bounds.begin(), bounds.end(), milliseconds);
+  ++histogram.counts_.at(static_cast<std::size_t>(bound - bounds.begin()));
+  histogram.sum_ += milliseconds;
 }
 
 std::map<std::string, DurationSummary>
