A failed idempotent request is tried once more; a draining node still takes callers' requests

Change: retry budget 0.08 of requests (a repeated run repeats its calls), failures of instances count; the node that drains refuses only as owner; Retry-After beyond the rate is a share of the target.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -29,11 +29,13 @@
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
   /// Time without a word from an owner after which its requests are tried elsewhere.
   static constexpr std::chrono::milliseconds kSilenceCheck{ 100 };
+  /// Least HTTP status that tells a failure of the instance.
+  static constexpr int kServerError = 500;
   /// Share of the target latency that such a wait may take.
   static constexpr double kExhaustedShareOfTarget = 0.1;
-  /// When a request beyond the rate may be repeated: tokens come at a steady rate that others use
-  /// up as well, so an earlier repetition would mostly be refused again.
-  static constexpr std::chrono::milliseconds kOverRateRetryAfter{ 1000 };
+  /// When a request beyond the rate may be repeated, as a share of its target latency: tokens come
+  /// steadily, and one that is spent on a repetition should still buy an answer in time.
+  static constexpr double kOverRateRetryShare = 0.15;
   /// Least time between two looks at the same waiting requests.
   static constexpr std::chrono::milliseconds kLeastPause{ 1 };
   /// Route priorities are below this, so that a team's priority goes before a route's.
@@ -52,10 +54,6 @@
   void OnCall(const Call& aCall, KeyTrust aTrust)
   {
     context_.Measures().Count("calls");
-    if (context_.Members().IsLeaving()) {
-      Refuse(aCall, Reason::Draining);
-      return;
-    }
     const auto* holder = FindTokenHolder(aCall);
     if (!aCall.callToken_.empty() && holder == nullptr) {
       Refuse(aCall, Reason::TokenUnknown);
@@ -227,7 +225,8 @@
         if (MayWait(aCall)) {
           return false;
         }
-        Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::OverRate, kOverRateRetryAfter));
+        Finish(aCall,
+               Answer::Refused(Outcome::NotRun, Reason::OverRate, OverRateRetryAfter(aCall)));
         return true;
       case TokenState::Unavailable:
         Finish(aCall, Answer::Refused(Outcome::NotRun, Reason::LimitUnavailable));
@@ -253,6 +252,13 @@
     return aCall.call_.arrivedAt_ + wait;
   }
 
+  [[nodiscard]] static Duration OverRateRetryAfter(const EntryCall& aCall)
+  {
+    const auto& route = aCall.decision_.route_;
+    const auto target = route.targetLatency_.count() > 0 ? route.targetLatency_ : route.timeout_;
+    return std::chrono::duration_cast<Duration>(target * kOverRateRetryShare);
+  }
+
   void StartAttempt(EntryCall& aCall)
   {
     const auto* chosen = Choose(aCall);
@@ -353,7 +359,12 @@
       aCall.mayHaveRun_ = aCall.mayHaveRun_ || aAnswer.outcome_ == Outcome::Unknown;
       aCall.instances_.insert(aCall.instance_);
     }
+    const bool failed = aAnswer.outcome_ == Outcome::Answered && aAnswer.status_ >= kServerError;
+    if (aAnswer.outcome_ == Outcome::Answered && aCall.answered_ == std::nullopt) {
+      aCall.answered_.emplace(aAnswer);
+    }
     const RetryFacts facts{ .outcome_ = aAnswer.outcome_,
+                            .failed_ = failed,
                             .reason_ = aAnswer.reason_,
                             .idempotent_ = aCall.decision_.route_.idempotent_,
                             .beforeDeadline_ = context_.Now() < aCall.deadline_,
@@ -458,7 +469,10 @@
     const auto id = aCall.call_.id_;
     // An earlier attempt may have run, whatever became of the last one.
     const bool untrue = aLast.outcome_ == Outcome::NotRun && aCall.mayHaveRun_;
-    const auto answer = untrue ? Answer::Refused(Outcome::Unknown, aLast.reason_) : aLast;
+    const bool hasEarlier = aLast.outcome_ != Outcome::Answered && aCall.answered_;
+    const auto answer = hasEarlier ? *aCall.answered_
+                        : untrue   ? Answer::Refused(Outcome::Unknown, aLast.reason_)
+                                   : aLast;
     WriteEnd(aCall.call_, answer, &aCall);
     if (answer.outcome_ == Outcome::NotRun && aCall.token_) {
       limits_.Refund(aCall.decision_.team_, *aCall.token_);
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -12,6 +12,7 @@
 struct RetryFacts
 {
   const Outcome outcome_ = Outcome::Unknown; ///< of the attempt that just ended
+  const bool failed_ = false; ///< it was answered, by a failure of the instance
   const Reason reason_ = Reason::None;
   const bool idempotent_ = false;
   const bool beforeDeadline_ = false;
@@ -23,7 +24,8 @@
 /// \brief Limits the retries of one service at one node to a share of its requests.
 ///
 /// Answers the load pattern "retry storm": summed over the nodes, retries stay below a fifth of the
-/// requests and a small burst, whatever fails.
+/// requests and a small burst, whatever fails. The share is below half of that, since a request that
+/// runs again makes its calls to other services again.
 ///
 /// \code
 /// auto budget = RetryBudget{}.AfterRequest();
@@ -31,8 +33,8 @@
 class RetryBudget
 {
 public:
-  static constexpr double kRetriesPerRequest = 0.15;
-  static constexpr double kMostRetries = 2.5;
+  static constexpr double kRetriesPerRequest = 0.08;
+  static constexpr double kMostRetries = 2;
 
   [[nodiscard]] bool AllowsRetry() const noexcept { return tokens_ >= 1; }
   [[nodiscard]] RetryBudget AfterRequest() const noexcept;
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -42,7 +42,8 @@
 bool
 MayRetry(const RetryFacts& aFacts, const RetryBudget& aBudget) noexcept
 {
-  if (aFacts.outcome_ == Outcome::Answered || impl::EndsTheRequest(aFacts.reason_)) {
+  if ((aFacts.outcome_ == Outcome::Answered && !aFacts.failed_) ||
+      impl::EndsTheRequest(aFacts.reason_)) {
     return false;
   }
   const bool safe = aFacts.outcome_ == Outcome::NotRun || aFacts.idempotent_;
--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -41,7 +41,12 @@
                        bool aIdempotent,
                        bool aInTime = true,
                        std::uint32_t aAttempts = 1) {
-    return MayRetry({ aOutcome, aReason, aIdempotent, aInTime, aAttempts }, budget);
+    return MayRetry({ .outcome_ = aOutcome,
+                      .reason_ = aReason,
+                      .idempotent_ = aIdempotent,
+                      .beforeDeadline_ = aInTime,
+                      .attempts_ = aAttempts },
+                    budget);
   };
   BOOST_TEST(may(Outcome::NotRun, Reason::Overloaded, false));
   BOOST_TEST(!may(Outcome::Unknown, Reason::ConnectionBroken, false));
@@ -52,6 +57,28 @@
   BOOST_TEST(!may(Outcome::NotRun, Reason::Overloaded, true, true, kMostAttempts));
 }
 
+BOOST_AUTO_TEST_CASE(a_failure_of_the_instance_is_repeated_only_for_idempotent_requests)
+{
+  const auto may = [](bool aIdempotent, const RetryBudget& aBudget, std::uint32_t aInstances) {
+    return MayRetry({ .outcome_ = Outcome::Answered,
+                      .failed_ = true,
+                      .idempotent_ = aIdempotent,
+                      .beforeDeadline_ = true,
+                      .attempts_ = aInstances,
+                      .instances_ = aInstances,
+                      .mostInstances_ = 2 },
+                    aBudget);
+  };
+  RetryBudget spent;
+  while (spent.AllowsRetry()) {
+    spent = spent.AfterRetry();
+  }
+  BOOST_TEST(may(true, {}, 1));
+  BOOST_TEST(!may(false, {}, 1));
+  BOOST_TEST(!may(true, {}, 2)); // the route's instances are used up
+  BOOST_TEST(!may(true, spent, 1));
+}
+
 BOOST_AUTO_TEST_CASE(the_retry_budget_limits_retries_to_a_share_of_successes)
 {
   RetryBudget budget;
@@ -64,7 +91,7 @@
     }
   }
   BOOST_TEST(retries <= 1000 * RetryBudget::kRetriesPerRequest + RetryBudget::kMostRetries);
-  BOOST_TEST(retries >= 100);
+  BOOST_TEST(retries >= 1000 * RetryBudget::kRetriesPerRequest);
 }
 
 BOOST_AUTO_TEST_CASE(a_refusal_that_spared_the_backend_server_is_repeated_without_budget)
@@ -74,7 +101,11 @@
     budget = budget.AfterRetry();
   }
   const auto may = [&](Reason aReason, std::uint32_t aAttempts) {
-    return MayRetry({ Outcome::NotRun, aReason, false, true, aAttempts }, budget);
+    return MayRetry({ .outcome_ = Outcome::NotRun,
+                      .reason_ = aReason,
+                      .beforeDeadline_ = true,
+                      .attempts_ = aAttempts },
+                    budget);
   };
   BOOST_TEST(may(Reason::WrongNode, 1));
   BOOST_TEST(!may(Reason::WrongNode, kMostAttempts));
