The last part of a planned stop takes no new requests

Change: after its quiet time a leaving node refuses what comes on kept connections as not run. Test: node_test a_draining_entry_serves_through_others_until_its_intake_ends.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -54,6 +54,10 @@
   void OnCall(const Call& aCall, KeyTrust aTrust)
   {
     context_.Measures().Count("calls");
+    if (intakeEnded_) {
+      Refuse(aCall, Reason::Draining);
+      return;
+    }
     const auto* holder = FindTokenHolder(aCall);
     if (!aCall.callToken_.empty() && holder == nullptr) {
       Refuse(aCall, Reason::TokenUnknown);
@@ -72,6 +76,9 @@
     Accept(aCall, std::move(*decision), holder);
   }
 
+  /// \brief Refuses new requests from now on; those that it has are finished.
+  void EndIntake() noexcept { intakeEnded_ = true; }
+
   /// \brief Takes in that the caller left.
   void OnCallerGone(const CallId& aId)
   {
@@ -538,6 +545,7 @@
   NodeContext<Env>& context_;
   TeamLimits<Env>& limits_;
   const CallTokens& tokens_;
+  bool intakeEnded_ = false;
   InstanceHints hints_;
   DestinationChoice destinations_;
   std::map<std::string, RetryBudget> retries_; ///< by service
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -105,7 +105,11 @@
     return next;
   }
 
-  /// \brief Begins a planned stop: new work is refused as not run, running work is finished.
+  /// \brief Refuses new requests of callers as not run, for the last part of a planned stop.
+  void EndIntake() { entry_.EndIntake(); }
+
+  /// \brief Begins a planned stop: as owner the node refuses new work as not run; as entry it
+  /// serves callers through other nodes until EndIntake. Running work is finished.
   void BeginDrain()
   {
     context_.Members().BeginLeaving();
--- a/src/adapters/process/line_log.hpp
+++ b/src/adapters/process/line_log.hpp
@@ -36,7 +36,7 @@
   /// Time whose budget may be used at once.
   static constexpr double kBurstSeconds = 2;
   /// Bytes kept while the reader does not read.
-  static constexpr std::size_t kMostPendingBytes = 256 * 1024;
+  static constexpr std::size_t kMostPendingBytes = std::size_t{ 256 } * 1024;
 
   /// Least time between two lines about dropped lines.
   static constexpr std::chrono::seconds kDroppedLinePeriod{ 1 };
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -138,6 +138,7 @@
     // Callers learn over this time that the node is not ready; until then they are still served.
     StepUntil(std::min(end, clock_.Now() + kQuietTime), [] { return false; });
     callers_.StopAccepting();
+    node_.EndIntake(); // connections that were kept open may still bring requests
     StepUntil(clock_.Now() + kCloseTime, [] { return false; });
     StepUntil(end, [this] { return node_.IsIdle() && callers_.IsIdle(); });
     StepUntil(clock_.Now() + kFlushTime, [] { return false; });
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -191,6 +191,25 @@
   BOOST_TEST(links.At(NodeAt(1, 1)).IsIdle());
 }
 
+BOOST_AUTO_TEST_CASE(a_draining_entry_serves_through_others_until_its_intake_ends)
+{
+  FakeLinks links(14);
+  StartAll(links, kSmall);
+  links.At(NodeAt(1, 1)).BeginDrain();
+  const auto served = links.Call(NodeAt(1, 1), "", "GET", "/public/x");
+  links.Run(milliseconds(200));
+  BOOST_TEST((links.answers_.at(served).outcome_ == Outcome::Answered));
+  links.serviceTime_ = milliseconds(100);
+  const auto running = links.Call(NodeAt(1, 1), "", "GET", "/public/x");
+  links.Run(milliseconds(10));
+  links.At(NodeAt(1, 1)).EndIntake();
+  const auto late = links.Call(NodeAt(1, 1), "", "GET", "/public/x");
+  links.Run(milliseconds(300));
+  BOOST_TEST((links.answers_.at(running).outcome_ == Outcome::Answered));
+  BOOST_TEST((links.answers_.at(late).reason_ == Reason::Draining));
+  BOOST_TEST(links.RunsOf(late) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_token_works_on_its_node_while_its_request_runs)
 {
   FakeLinks links(6);
