--- a/cli/trace.cpp
+++ b/cli/trace.cpp
@@ -30,6 +30,7 @@
     { "no_route", "no route matched in the version that the node ran: see version_applied" },
     { "key_unknown", "the key was not in the version that the node ran: see version_applied" },
     { "key_missing", "the route wants a key and none came" },
+    { "cancelled", "the caller left before its answer: see how long the owner had it, and why" },
     { "cut_off", "the node heard neither the platform nor another failure domain for too long" },
   };
   return kExplanations;
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -91,6 +91,8 @@
       context_.Send(call.owner_, CallCancel{ aId, call.attempts_ });
     }
     context_.Measures().Count("calls_cancelled");
+    const auto outcome = call.stage_ == EntryStage::AtOwner ? Outcome::Unknown : Outcome::NotRun;
+    WriteEnd(call.call_, Answer::Refused(outcome, Reason::Cancelled), &call);
     Remove(found);
   }
 
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -358,15 +358,19 @@
     const auto decision = !aAdmitted                      ? ToString(aAdmitted.error())
                           : *aAdmitted == Admitted::Start ? "start"
                                                           : "queued";
-    context_.Write(LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
-                     .With("call", ToString(aId.call_))
-                     .With("request", aRequest.requestId_)
-                     .With("attempt", aId.attempt_)
-                     .With("team", aRequest.team_)
-                     .With("decision", decision)
-                     .With("in_flight", admission_.InFlight())
-                     .With("queued", admission_.Queued())
-                     .With("limit", admission_.Limit()));
+    context_.Write(
+      LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
+        .With("call", ToString(aId.call_))
+        .With("request", aRequest.requestId_)
+        .With("attempt", aId.attempt_)
+        .With("team", aRequest.team_)
+        .With("decision", decision)
+        .With("in_flight", admission_.InFlight())
+        .With("queued", admission_.Queued())
+        .With("limit", admission_.Limit())
+        .With("cold", admission_.Gate().IsCold(context_.Now()))
+        .With("patience_us",
+              std::chrono::duration_cast<std::chrono::microseconds>(aRequest.patience_).count()));
   }
 
   [[nodiscard]] Duration ExpectedCost(const std::string& aRoute) const
