--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -266,6 +266,22 @@
   return decode(text:match("{.*}"))
 end
 
+-- Waits for the loads "load-1" to "load-COUNT"; returns how many requests were answered, how many were
+-- sent, and the tags of those that callers were told had not run.
+function load_results(count, deadline_ms)
+  local answered, total, not_run = 0, 0, {}
+  for i = 1, count do
+    local result = load_result("load-" .. i, deadline_ms)
+    print("load " .. i .. ": " .. encode(result.outcomes))
+    answered = answered + (result.outcomes.answered or 0)
+    total = total + result.sent
+    for _, tag in ipairs(result.not_run_tags) do
+      not_run[tag] = true
+    end
+  end
+  return answered, total, not_run
+end
+
 -- Cuts or heals the links between two groups of addresses in both directions.
 function Mesh:set_cut(cut, one, other)
   for _, pair in ipairs{ { one, other }, { other, one } } do
