--- a/src/version/document_assembly.cpp
+++ b/src/version/document_assembly.cpp
@@ -52,6 +52,7 @@
     }
   }
   std::vector<FailureDomain> domains;
+  domains.reserve(part.failureDomains_.size());
   for (const auto& domain : part.failureDomains_) {
     domains.push_back({ domain.name_, domain.inService_ && !out.contains(domain.name_) });
   }
@@ -76,6 +77,7 @@
     current = later ? instance : current;
   }
   std::vector<const PublishedInstance*> instances;
+  instances.reserve(byNode.size());
   for (const auto& [node, instance] : byNode) {
     instances.push_back(instance);
   }
@@ -97,6 +99,7 @@
     }
   }
   std::vector<Service> services;
+  services.reserve(document.services_.size());
   for (const auto& service : document.services_) {
     auto backendServers = service.backendServers_;
     for (const auto& server : joined[service.name_]) {
