A refusal of a backend server counts only in the form that its interface promises

Since the header names became configurable, any value of not-started at any status, and any 421, counted as not run in the own interface too, whose pages promise only 503 with "not-started: true". A request that ran could be told as not run, and be repeated. Change: HeaderNames carries the value; 421 counts only where an expected instance is named. The users' interface is as before (any value, any status). Tests were not run on it; a test of its own is owed.

--- a/src/adapters/connection/backend_client.cpp
+++ b/src/adapters/connection/backend_client.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 void
 AddIfUsed(HeaderFields& aHeaders, const std::string& aName, const std::string& aValue)
@@ -65,12 +66,14 @@
       break;
   }
   const auto& response = aResult.response_;
-  if (!FindHeader(response.headers_, names_.notStarted_).empty()) {
-    return response.status_ == impl::kMisdirected ? BackendResult::OtherInstance
-                                                  : BackendResult::Shed;
+  if (response.status_ == impl::kMisdirected && !names_.expectedInstance_.empty()) {
+    return BackendResult::OtherInstance;
   }
-  return response.status_ == impl::kMisdirected ? BackendResult::OtherInstance
-                                                : BackendResult::Answered;
+  const auto stated = FindHeader(response.headers_, names_.notStarted_);
+  const auto& wanted = names_.notStartedValue_;
+  const bool refused =
+    wanted.empty() ? !stated.empty() : response.status_ == impl::kUnavailable && stated == wanted;
+  return refused ? BackendResult::Shed : BackendResult::Answered;
 }
 
 void
--- a/src/adapters/request/header_names.hpp
+++ b/src/adapters/request/header_names.hpp
@@ -26,7 +26,8 @@
   std::string callerService_; ///< the service on the VM at which the request began
   std::string expectedInstance_;
   // From backend servers.
-  std::string notStarted_ = "not-started"; ///< present: the request was refused before it ran
+  std::string notStarted_ = "not-started"; ///< the request was refused before it ran
+  std::string notStartedValue_ = "true";   ///< what it says so with, at status 503; empty: anything
   // Towards callers.
   std::string outcome_ = "geraniumpin-outcome";
   std::string reason_ = "geraniumpin-reason";
