A server that refuses nearly all of its work weighs by the attempts it costs

Ruled out: the probing controller's latency signal (its limit stood at 1 to 2.5, but nothing was refused for that); the refusal's form on the wire (the outcome is shed, as it should be). Change: the load is multiplied by the attempts that a request needs to succeed.

--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -39,6 +39,8 @@
   static constexpr std::size_t kMostQueuedPerTeam = 64;
   /// Weight of the newest request in the share of refused ones.
   static constexpr double kShedSmoothing = 0.2;
+  /// Least share of successes that Load reckons with; bounds the load of a server that only refuses.
+  static constexpr double kLeastSuccessShare = 0.05;
 
   /// \param aSlots Requests that the backend server bears when warm.
   explicit Admission(std::uint32_t aSlots)
@@ -138,13 +140,16 @@
     return ExpectedWait(aRank, aNow);
   }
 
-  /// \brief Running and queued requests as a share of the concurrency limit.
+  /// \brief Running and queued requests as a share of the concurrency limit, times the attempts
+  /// that a request needs here to succeed.
   ///
-  /// A backend server that refuses counts as loaded: it answers so fast that it would seem idle.
+  /// Answers the load pattern "instance that refuses": it answers so fast that it would seem idle,
+  /// and one that refuses nearly everything must not be preferred to a busy one.
   [[nodiscard]] double Load(TimePoint aNow) const
   {
     const double share = (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
-    return std::max(share, gate_.Load(aNow)) + shedShare_;
+    const double successShare = std::max(kLeastSuccessShare, 1 - shedShare_);
+    return (std::max(share, gate_.Load(aNow)) + shedShare_) / successShare;
   }
 
 private:
--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -127,3 +127,17 @@
   }
   BOOST_TEST(admission.Load(kStart) < 0.1);
 }
+
+// Load pattern "instance that refuses": one that drains without saying so refuses all of its work.
+BOOST_AUTO_TEST_CASE(a_server_that_refuses_nearly_all_looks_busier_than_a_full_one)
+{
+  Admission<int> refusing(9);
+  for (int i = 1; i <= 20; ++i) {
+    BOOST_REQUIRE(refusing.Offer(Work(i, "a"), kStart));
+    (void)refusing.OnEnd(WorkResult::Shed, kStart, kStart);
+  }
+  Admission<int> full(1);
+  BOOST_REQUIRE(full.Offer(Work(1, "a"), kStart));
+  BOOST_REQUIRE(full.Offer(Work(2, "a"), kStart));
+  BOOST_TEST(refusing.Load(kStart) > full.Load(kStart) + kLargeBodyRemotePenalty);
+}
