A delta is applied if its content fits, whatever its base; a pull states the parts it has

Machines have 10 Mbit/s, and a version of 800 routes has about 200 KB. Readers of the store coalesce different revisions, so the base of a pushed delta is rarely the version that the receiver runs: 19 of 71 versions at two nodes were refused with base_missing, the pull that followed named a version that is in nobody's history, and the whole version came back. Change: parts are laid over the running ones and the digest tells whether the result is the version; a pull carries the digests of the parts it has, so that any node sends just the rest. The index of bytes by digest, which nothing read, is gone. Whole route lists still travel for each change of one route.

--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -58,6 +58,7 @@
 struct VersionPull
 {
   const VersionId have_;
+  const PartDigests parts_; ///< of that version, so that any node can tell what to send
 
   auto operator<=>(const VersionPull&) const = default;
 };
--- a/include/geraniumpin/process/config_service.hpp
+++ b/include/geraniumpin/process/config_service.hpp
@@ -73,7 +73,10 @@
   void Pull(const NodeAddress& aPeer)
   {
     pullAgainAt_ = context_.Now() + kPullTimeout;
-    context_.Send(aPeer, VersionPull{ context_.Versions().CurrentId() });
+    const auto& current = context_.Versions().Current();
+    context_.Send(aPeer,
+                  VersionPull{ .have_ = context_.Versions().CurrentId(),
+                               .parts_ = current ? current->Parts().parts_ : PartDigests{} });
   }
 
   /// \brief Answers a pull with the change; with a heartbeat if there is nothing to send.
@@ -83,7 +86,8 @@
       context_.Send(aEnvelope.sender_, Heartbeat{});
       return;
     }
-    Push(aEnvelope.sender_, context_.Versions().DeltaFrom(aPull.have_), false);
+    const auto delta = context_.Versions().DeltaFrom(aPull.have_, aPull.parts_);
+    Push(aEnvelope.sender_, delta, false);
   }
 
   void OnPush(const Envelope& aEnvelope, const VersionPush& aPush)
--- a/include/geraniumpin/version/version_store.hpp
+++ b/include/geraniumpin/version/version_store.hpp
@@ -93,10 +93,16 @@
   /// Starts from nothing if the version of the other node is not in the history.
   [[nodiscard]] Delta DeltaFrom(const VersionId& aTheirs) const;
 
-  /// \brief The bytes of the running parts by digest, so that a reader fetches only what changed.
-  [[nodiscard]] SharedBytes FindBytes(const Digest& aDigest) const;
+  /// \brief The same for a node that states the parts of its version.
+  ///
+  /// Readers of the platform skip different revisions, so its version is often in no history.
+  [[nodiscard]] Delta DeltaFrom(const VersionId& aTheirs, const PartDigests& aTheirParts) const;
 
 private:
+  /// Says whether the change starts from nothing or from the running version.
+  [[nodiscard]] bool IsBaseOf(const Delta& aDelta) const;
+  /// Puts the changed parts over the running ones. A change from another version may still lead to
+  /// the right content, which its digest tells. \returns Nothing if there is no version to change.
   [[nodiscard]] std::optional<std::map<std::string, SharedBytes>> Merge(const Delta& aDelta) const;
   [[nodiscard]] tl::unexpected<RefusedVersion> RefuseInvalid(const VersionId& aId, Faults aFaults);
   void Install(SharedSnapshot aSnapshot, std::map<std::string, SharedBytes> aBytes);
@@ -104,7 +110,6 @@
 
   SharedSnapshot current_;
   std::map<std::string, SharedBytes> bytes_;
-  std::map<Digest, SharedBytes> bytesByDigest_;
   std::deque<Manifest> history_;
   std::set<VersionId> bad_;
 };
@@ -134,7 +139,9 @@
   const auto manifest = impl::ManifestOf(
     aDelta.to_.number_, *merged, bytes_, current_ ? current_->Parts().parts_ : PartDigests{});
   if (IdOf(manifest) != aDelta.to_) {
-    return tl::make_unexpected(RefusedVersion{ VersionRefusal::ContentMismatch, {} });
+    const auto refusal =
+      IsBaseOf(aDelta) ? VersionRefusal::ContentMismatch : VersionRefusal::BaseMissing;
+    return tl::make_unexpected(RefusedVersion{ refusal, {} });
   }
   SnapshotBuilder builder(manifest, current_);
   for (const auto& [name, digest] : manifest.parts_) {
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -183,13 +183,25 @@
 void
 Write(const VersionPull& aFrom, wire::Envelope& aEnvelope)
 {
-  Write(aFrom.have_, *aEnvelope.mutable_version_pull()->mutable_have());
+  auto& to = *aEnvelope.mutable_version_pull();
+  Write(aFrom.have_, *to.mutable_have());
+  for (const auto& [name, digest] : aFrom.parts_) {
+    (*to.mutable_parts())[name] = std::string(digest.Bytes());
+  }
 }
 
-Payload
+std::optional<Payload>
 Read(const wire::VersionPull& aFrom)
 {
-  return VersionPull{ Read(aFrom.have()) };
+  PartDigests parts;
+  for (const auto& [name, bytes] : aFrom.parts()) {
+    const auto digest = Digest::FromBytes(bytes);
+    if (!digest) {
+      return std::nullopt;
+    }
+    parts.emplace(name, *digest);
+  }
+  return VersionPull{ .have_ = Read(aFrom.have()), .parts_ = std::move(parts) };
 }
 
 void
--- a/src/version/version_store.cpp
+++ b/src/version/version_store.cpp
@@ -40,11 +40,17 @@
   return std::nullopt;
 }
 
+bool
+VersionStore::IsBaseOf(const Delta& aDelta) const
+{
+  return aDelta.from_.number_ == 0 || aDelta.from_ == CurrentId();
+}
+
 std::optional<std::map<std::string, SharedBytes>>
 VersionStore::Merge(const Delta& aDelta) const
 {
   const bool fromNothing = aDelta.from_.number_ == 0;
-  if (!fromNothing && aDelta.from_ != CurrentId()) {
+  if (!fromNothing && !current_) {
     return std::nullopt;
   }
   std::map<std::string, SharedBytes> merged;
@@ -72,10 +78,6 @@
 {
   current_ = std::move(aSnapshot);
   bytes_ = std::move(aBytes);
-  bytesByDigest_.clear();
-  for (const auto& [name, digest] : current_->Parts().parts_) {
-    bytesByDigest_.emplace(digest, bytes_.at(name));
-  }
   history_.push_back(current_->Parts());
   if (history_.size() > kManifestHistory) {
     history_.pop_front();
@@ -102,25 +104,23 @@
     return aManifest.number_ == aTheirs.number_ && IdOf(aManifest) == aTheirs;
   });
   const bool known = base != history_.end();
-  const auto difference =
-    Difference(known ? base->parts_ : PartDigests{}, current_->Parts().parts_);
+  return known ? DeltaFrom(aTheirs, base->parts_) : DeltaFrom({}, PartDigests{});
+}
+
+Delta
+VersionStore::DeltaFrom(const VersionId& aTheirs, const PartDigests& aTheirParts) const
+{
+  const auto difference = Difference(aTheirParts, current_->Parts().parts_);
   std::map<std::string, SharedBytes> changed;
   for (const auto& name : difference.changed_) {
     changed.emplace(name, bytes_.at(name));
   }
-  return { .from_ = known ? aTheirs : VersionId{},
+  return { .from_ = aTheirs,
            .to_ = CurrentId(),
            .changed_ = std::move(changed),
            .removed_ = difference.removed_ };
 }
 
-SharedBytes
-VersionStore::FindBytes(const Digest& aDigest) const
-{
-  const auto found = bytesByDigest_.find(aDigest);
-  return found == bytesByDigest_.end() ? nullptr : found->second;
-}
-
 namespace impl {
 
 Manifest
@@ -132,7 +132,8 @@
   PartDigests digests;
   for (const auto& [name, bytes] : aParts) {
     const auto known = aKnownBytes.find(name);
-    const bool same = known != aKnownBytes.end() && known->second == bytes;
+    const bool same = known != aKnownBytes.end() &&
+                      (known->second == bytes || *known->second == *bytes);
     digests.emplace(name, same ? aKnownDigests.at(name) : Digest::Of(*bytes));
   }
   return { .number_ = aNumber, .parts_ = std::move(digests) };
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -40,7 +40,7 @@
                       .answer_ = { Outcome::Answered, Reason::None, 200, {}, MakeBody("x") },
                       .hint_ = { 0.5, false } },
            CallCancel{ { 1, 2 }, 3 },
-           VersionPull{ { 7, Digest::Of("seven") } },
+           VersionPull{ { 7, Digest::Of("seven") }, { { "teams", Digest::Of("t") } } },
            VersionPush{ FullDelta(Encode(MakeDocument({}))), true },
            Heartbeat{ true,
                       { { NodeAt(1, 2), 4, 5, MemberState::Suspect } },
--- a/tests/version/version_store_test.cpp
+++ b/tests/version/version_store_test.cpp
@@ -48,6 +48,37 @@
   BOOST_TEST(ahead.DeltaFrom({ 1, Digest::Of("unknown") }).from_.number_ == 0U);
 }
 
+// Load pattern "storm of versions": readers of the platform see different revisions of it.
+BOOST_AUTO_TEST_CASE(a_delta_from_a_version_never_seen_is_applied_if_its_content_fits)
+{
+  VersionStore reader;
+  VersionStore other;
+  BOOST_REQUIRE(reader.Apply(FullDelta(Version(1)), kCodec));
+  BOOST_REQUIRE(other.Apply(FullDelta(Version(1)), kCodec));
+  BOOST_REQUIRE(other.Apply(FullDelta(Version(2, 20)), kCodec)); // the reader never saw this one
+  const auto before = reader.CurrentId();
+  BOOST_REQUIRE(reader.Apply(FullDelta(Version(3, 30)), kCodec));
+  BOOST_TEST(other.Apply(reader.DeltaFrom(before), kCodec).has_value());
+  BOOST_TEST((other.CurrentId() == reader.CurrentId()));
+}
+
+BOOST_AUTO_TEST_CASE(a_delta_that_does_not_fit_the_running_parts_asks_for_another)
+{
+  VersionStore reader;
+  VersionStore other;
+  BOOST_REQUIRE(reader.Apply(FullDelta(Version(1)), kCodec));
+  auto document = MakeDocument({ .version_ = 2 });
+  document["routes"][0]["timeout_ms"] = 77;
+  BOOST_REQUIRE(other.Apply(FullDelta(Encode(document)), kCodec));
+  const auto before = reader.CurrentId();
+  BOOST_REQUIRE(reader.Apply(FullDelta(Version(3, 30)), kCodec));
+  const auto refused = other.Apply(reader.DeltaFrom(before), kCodec);
+  BOOST_TEST((refused.error().refusal_ == VersionRefusal::BaseMissing));
+  const auto fitting = reader.DeltaFrom(other.CurrentId(), other.Current()->Parts().parts_);
+  BOOST_TEST(fitting.changed_.size() == 3U); // not the whole version
+  BOOST_TEST(other.Apply(fitting, kCodec).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_delta_whose_content_does_not_match_changes_nothing)
 {
   VersionStore store;
