Routes in sixteen parts: a change of one route sends and decodes a sixteenth of them

Change: routes are divided by the hash of their name, as keys are by their digest; parts that are shared with the running version are not checked or indexed again.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -7,6 +7,7 @@
 #include "geraniumpin/process/placement_hash.hpp"
 #include "geraniumpin/process/watch_duty.hpp"
 #include "geraniumpin/version/document_assembly.hpp"
+#include "geraniumpin/version/part_split.hpp"
 
 #include <algorithm>
 #include <map>
@@ -275,21 +276,21 @@
   {
     const auto& item = assembly_.Document();
     const auto& document = std::get<PublishedDocument>(*item);
-    std::set<std::string> names;
     if (item != encodedDocument_) {
       encodedDocument_ = item;
-      SetPart(part_name::kRoutes, document.routes_);
       SetPart(part_name::kTeams, document.teams_);
-      keyParts_.clear();
+      splitParts_.clear();
+      for (const auto& [name, routes] : SplitRoutes(document.routes_)) {
+        SetPart(name, routes);
+        splitParts_.insert(name);
+      }
       for (const auto& [name, keys] : SplitKeys(document.keys_)) {
-        SetPart(name, KeysPart{ keys });
-        keyParts_.insert(name);
+        SetPart(name, keys);
+        splitParts_.insert(name);
       }
     }
-    names = keyParts_;
-    names.insert({ std::string(part_name::kRoutes),
-                   std::string(part_name::kTeams),
-                   std::string(part_name::kFailureDomains) });
+    auto names = splitParts_;
+    names.insert({ std::string(part_name::kTeams), std::string(part_name::kFailureDomains) });
     SetPart(part_name::kFailureDomains, assembly_.FailureDomains());
     for (const auto& service : assembly_.Services()) {
       const auto name = std::string(part_name::kServicePrefix) + service.name_;
@@ -315,15 +316,6 @@
     bytes_.insert_or_assign(name, bytes);
   }
 
-  [[nodiscard]] static std::map<std::string, std::vector<Key>> SplitKeys(const KeysPart& aKeys)
-  {
-    std::map<std::string, std::vector<Key>> split;
-    for (const auto& key : aKeys.keys_) {
-      split[std::string(part_name::kKeysPrefix) + key.digest_.Hex().front()].push_back(key);
-    }
-    return split;
-  }
-
   [[nodiscard]] bool HasDuty(TimePoint aNow) const
   {
     return HasWatchDuty({ .rank_ = Rank(), .platformAge_ = freshness_.Age(aNow) });
@@ -391,7 +383,7 @@
   std::set<std::string> lapsed_; ///< instances that the platform dropped and that may come back
   TimePoint lapseEndsAt_;
   std::shared_ptr<const Published> encodedDocument_;
-  std::set<std::string> keyParts_;
+  std::set<std::string> splitParts_; ///< names of the parts with routes and keys
   DecodedParts values_; ///< what was encoded last, by part
   std::map<std::string, SharedBytes> bytes_;
   PartDigests digests_;
--- a/include/geraniumpin/version/document.hpp
+++ b/include/geraniumpin/version/document.hpp
@@ -136,7 +136,7 @@
   auto operator<=>(const FailureDomainsPart&) const = default;
 };
 
-/// \brief All routes.
+/// \brief The routes of one part.
 struct RoutesPart
 {
   const std::vector<Route> routes_;
--- a/include/geraniumpin/version/manifest.hpp
+++ b/include/geraniumpin/version/manifest.hpp
@@ -18,7 +18,7 @@
 /// \brief Part names by kind.
 namespace part_name {
 inline constexpr std::string_view kFailureDomains = "failure_domains";
-inline constexpr std::string_view kRoutes = "routes";
+inline constexpr std::string_view kRoutesPrefix = "routes/";
 inline constexpr std::string_view kTeams = "teams";
 inline constexpr std::string_view kKeysPrefix = "keys/";
 inline constexpr std::string_view kServicePrefix = "service/";
--- /dev/null
+++ b/include/geraniumpin/version/part_split.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "geraniumpin/version/document.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace geraniumpin {
+
+/// \brief Names the part that holds the route of that name.
+///
+/// Answers the load pattern "storm of versions": a change of one route leaves fifteen of sixteen
+/// parts as they are, so they are neither sent nor decoded again.
+[[nodiscard]] std::string
+RoutesPartName(std::string_view aRouteName);
+
+/// \brief Names the part that holds the key with that digest.
+[[nodiscard]] std::string
+KeysPartName(const Digest& aDigest);
+
+/// \brief Divides routes among parts; within a part they keep their order.
+///
+/// \code
+/// for (const auto& [name, part] : SplitRoutes(document.routes_)) { Publish(name, part); }
+/// \endcode
+[[nodiscard]] std::map<std::string, RoutesPart>
+SplitRoutes(const RoutesPart& aRoutes);
+
+/// \brief Divides keys among parts; within a part they keep their order.
+[[nodiscard]] std::map<std::string, KeysPart>
+SplitKeys(const KeysPart& aKeys);
+
+} // namespace geraniumpin
--- a/include/geraniumpin/version/snapshot.hpp
+++ b/include/geraniumpin/version/snapshot.hpp
@@ -57,7 +57,6 @@
   [[nodiscard]] std::optional<Placement> FindPlacement(const NodeAddress& aNode) const noexcept;
 
   [[nodiscard]] const std::vector<FailureDomain>& FailureDomains() const noexcept;
-  [[nodiscard]] const std::vector<Route>& Routes() const noexcept;
   [[nodiscard]] const std::vector<Team>& Teams() const noexcept;
   [[nodiscard]] std::vector<const Service*> Services() const;
   [[nodiscard]] std::chrono::seconds CutOffKeyedService() const noexcept;
@@ -78,13 +77,18 @@
 
 private:
   friend class SnapshotBuilder;
-  Snapshot(Manifest aManifest, DecodedParts aParts, NodeIndex aNodes);
+  using RoutesByHost = std::map<std::string, std::vector<const Route*>, std::less<>>;
+
+  Snapshot(Manifest aManifest,
+           DecodedParts aParts,
+           NodeIndex aNodes,
+           std::shared_ptr<const RoutesByHost> aRoutesByHost);
 
   VersionId id_;
   Manifest manifest_;
   DecodedParts parts_;
   NodeIndex nodes_;
-  std::map<std::string, std::vector<const Route*>, std::less<>> routesByHost_;
+  std::shared_ptr<const RoutesByHost> routesByHost_; ///< points into the parts
 };
 
 /// \brief A snapshot as the holders share it.
@@ -93,7 +97,7 @@
 /// \brief Collects decoded parts and builds a snapshot, whole or not at all.
 ///
 /// \code
-/// auto snapshot = SnapshotBuilder(manifest).Add("routes", routes).Build();
+/// auto snapshot = SnapshotBuilder(manifest).Add("teams", teams).Build();
 /// if (!snapshot) {
 ///   Report(snapshot.error());
 /// }
@@ -116,6 +120,8 @@
   [[nodiscard]] tl::expected<SharedSnapshot, Faults> Build() const;
 
 private:
+  [[nodiscard]] std::shared_ptr<const Snapshot::RoutesByHost> IndexRoutes() const;
+
   Manifest manifest_;
   SharedSnapshot base_;
   DecodedParts parts_;
--- a/src/adapters/version/document_json.cpp
+++ b/src/adapters/version/document_json.cpp
@@ -1,6 +1,7 @@
 #include "document_json.hpp"
 
 #include "document_schema.hpp"
+#include "geraniumpin/version/part_split.hpp"
 #include "json_text.hpp"
 
 #include <algorithm>
@@ -25,8 +26,8 @@
 bool
 IsKnownPart(std::string_view aName) noexcept
 {
-  return aName == part_name::kFailureDomains || aName == part_name::kRoutes ||
-         aName == part_name::kTeams || aName.starts_with(part_name::kKeysPrefix) ||
+  return aName == part_name::kFailureDomains || aName == part_name::kTeams ||
+         aName.starts_with(part_name::kRoutesPrefix) || aName.starts_with(part_name::kKeysPrefix) ||
          aName.starts_with(part_name::kServicePrefix);
 }
 
@@ -235,7 +236,7 @@
   if (aName == part_name::kFailureDomains) {
     return FailureDomainsOf(aRoot);
   }
-  if (aName == part_name::kRoutes) {
+  if (aName.starts_with(part_name::kRoutesPrefix)) {
     return RoutesOf(aRoot);
   }
   if (aName == part_name::kTeams) {
@@ -288,6 +289,16 @@
   return nullptr;
 }
 
+/// Names the part that an item of a divided list belongs to.
+std::string
+SplitPartName(std::string_view aList, const json& aItem)
+{
+  if (aList == "routes") {
+    return RoutesPartName(aItem.at("name").get<std::string>());
+  }
+  return KeysPartName(Digest::FromHex(aItem.at("sha256").get<std::string>()).value_or(Digest{}));
+}
+
 /// Where each value of a part stands in the operator's document.
 class PartLocator
 {
@@ -300,11 +311,12 @@
       servicePaths_.emplace(std::string(part_name::kServicePrefix) + name,
                             "/services/" + std::to_string(i));
     }
-    const auto& keys = aDocument.at("keys");
-    for (std::size_t i = 0; i < keys.size(); ++i) {
-      const auto digit = keys[i].at("sha256").get<std::string>().front();
-      keyPaths_[std::string(part_name::kKeysPrefix) + digit].push_back("/keys/" +
-                                                                       std::to_string(i));
+    for (const auto* list : { "routes", "keys" }) {
+      const auto& items = aDocument.at(list);
+      for (std::size_t i = 0; i < items.size(); ++i) {
+        itemPaths_[SplitPartName(list, items[i])].push_back("/" + std::string(list) + "/" +
+                                                            std::to_string(i));
+      }
     }
   }
 
@@ -313,18 +325,18 @@
     if (const auto service = servicePaths_.find(aFault.source_); service != servicePaths_.end()) {
       return service->second + aFault.path_;
     }
-    const auto keys = keyPaths_.find(aFault.source_);
-    if (keys == keyPaths_.end() || !aFault.path_.starts_with("/keys/")) {
+    const auto items = itemPaths_.find(aFault.source_);
+    if (items == itemPaths_.end()) {
       return aFault.path_;
     }
-    const auto rest = aFault.path_.substr(std::string_view("/keys/").size());
+    const auto rest = aFault.path_.substr(aFault.path_.find('/', 1) + 1); // after the list's name
     const auto slash = rest.find('/');
-    return keys->second.at(std::stoul(rest.substr(0, slash))) + rest.substr(slash);
+    return items->second.at(std::stoul(rest.substr(0, slash))) + rest.substr(slash);
   }
 
 private:
   std::map<std::string, std::string> servicePaths_;
-  std::map<std::string, std::vector<std::string>> keyPaths_;
+  std::map<std::string, std::vector<std::string>> itemPaths_; ///< of routes and keys, by part
 };
 
 std::map<std::string, SharedBytes>
@@ -339,14 +351,14 @@
       domains[name] = aDocument.at(name);
     }
   }
-  parts[std::string(part_name::kRoutes)]["routes"] = aDocument.at("routes");
   parts[std::string(part_name::kTeams)]["teams"] = aDocument.at("teams");
   for (const auto& service : aDocument.at("services")) {
     parts[std::string(part_name::kServicePrefix) + service.at("name").get<std::string>()] = service;
   }
-  for (const auto& key : aDocument.at("keys")) {
-    const auto digit = key.at("sha256").get<std::string>().front();
-    parts[std::string(part_name::kKeysPrefix) + digit]["keys"].push_back(key);
+  for (const auto* list : { "routes", "keys" }) {
+    for (const auto& item : aDocument.at(list)) {
+      parts[SplitPartName(list, item)][list].push_back(item);
+    }
   }
   std::map<std::string, SharedBytes> encoded;
   for (const auto& [name, part] : parts) {
--- a/src/version/snapshot.cpp
+++ b/src/version/snapshot.cpp
@@ -58,15 +58,16 @@
 } // namespace
 } // namespace impl
 
-Snapshot::Snapshot(Manifest aManifest, DecodedParts aParts, NodeIndex aNodes)
+Snapshot::Snapshot(Manifest aManifest,
+                   DecodedParts aParts,
+                   NodeIndex aNodes,
+                   std::shared_ptr<const RoutesByHost> aRoutesByHost)
   : id_(IdOf(aManifest))
   , manifest_(std::move(aManifest))
   , parts_(std::move(aParts))
   , nodes_(std::move(aNodes))
+  , routesByHost_(std::move(aRoutesByHost))
 {
-  for (const auto& route : Routes()) {
-    routesByHost_[route.host_].push_back(&route);
-  }
 }
 
 const Route*
@@ -75,8 +76,8 @@
                     std::string_view aPath) const noexcept
 {
   for (const auto host : { aHost, std::string_view{} }) {
-    const auto routes = routesByHost_.find(host);
-    if (routes == routesByHost_.end()) {
+    const auto routes = routesByHost_->find(host);
+    if (routes == routesByHost_->end()) {
       continue;
     }
     if (const auto* route = impl::LongestMatch(routes->second, aMethod, aPath)) {
@@ -145,12 +146,6 @@
   return impl::FindPart<FailureDomainsPart>(parts_, part_name::kFailureDomains)->failureDomains_;
 }
 
-const std::vector<Route>&
-Snapshot::Routes() const noexcept
-{
-  return impl::FindPart<RoutesPart>(parts_, part_name::kRoutes)->routes_;
-}
-
 const std::vector<Team>&
 Snapshot::Teams() const noexcept
 {
@@ -219,7 +214,24 @@
   const auto nodes = (base_ ? base_->nodes_ : NodeIndex{})
                        .Without(impl::ServicesOnlyIn(before, parts_))
                        .With(impl::ServicesOnlyIn(parts_, before));
-  return SharedSnapshot(new Snapshot(manifest_, parts_, nodes));
+  return SharedSnapshot(new Snapshot(manifest_, parts_, nodes, IndexRoutes()));
+}
+
+std::shared_ptr<const Snapshot::RoutesByHost>
+SnapshotBuilder::IndexRoutes() const
+{
+  if (base_ && impl::SharesPartsOf<RoutesPart>(parts_, base_->Decoded())) {
+    return base_->routesByHost_;
+  }
+  auto index = std::make_shared<Snapshot::RoutesByHost>();
+  for (const auto& [name, part] : parts_) {
+    if (const auto* routes = std::get_if<RoutesPart>(part.get())) {
+      for (const auto& route : routes->routes_) {
+        (*index)[route.host_].push_back(&route);
+      }
+    }
+  }
+  return index;
 }
 
 } // namespace geraniumpin
--- a/src/version/snapshot_checks.cpp
+++ b/src/version/snapshot_checks.cpp
@@ -1,5 +1,7 @@
 #include "snapshot_checks.hpp"
 
+#include "geraniumpin/version/part_split.hpp"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -29,6 +31,12 @@
     domainsKnown_ =
       IsKnown(part_name::kFailureDomains, parts_.find(part_name::kFailureDomains)->second);
     CollectNames();
+    if (known_ != nullptr) {
+      routesKnown_ =
+        SharesPartsOf<RoutesPart>(parts_, *known_) && services_ == ServiceNamesOf(*known_);
+      keysKnown_ =
+        SharesPartsOf<KeysPart>(parts_, *known_) && SharesPartsOf<TeamsPart>(parts_, *known_);
+    }
     for (const auto& [name, part] : parts_) {
       if (!IsSettled(name, part)) {
         std::visit([&, &partName = name](const auto& aPart) { Check(partName, aPart); }, *part);
@@ -51,7 +59,7 @@
   void CheckCompleteness()
   {
     for (const auto required :
-         { part_name::kFailureDomains, part_name::kRoutes, part_name::kTeams }) {
+         { part_name::kFailureDomains, part_name::kTeams }) {
       if (!manifest_.parts_.contains(std::string(required))) {
         AddFault(required, "", "the part is required", "none");
       }
@@ -81,14 +89,21 @@
     if (std::holds_alternative<FailureDomainsPart>(aPart)) {
       return aName == part_name::kFailureDomains;
     }
-    return aName ==
-           (std::holds_alternative<RoutesPart>(aPart) ? part_name::kRoutes : part_name::kTeams);
+    if (std::holds_alternative<RoutesPart>(aPart)) {
+      return aName.starts_with(part_name::kRoutesPrefix);
+    }
+    return aName == part_name::kTeams;
   }
 
-  /// A service that was valid before stays so as long as the failure domains are the same.
+  /// A service that was valid before stays so as long as the failure domains are the same, routes
+  /// as long as they and the names of the services are, keys as long as they and the teams are.
   [[nodiscard]] bool IsSettled(std::string_view aName, const SharedPart& aPart) const
   {
-    return domainsKnown_ && std::holds_alternative<Service>(*aPart) && IsKnown(aName, aPart);
+    if (std::holds_alternative<Service>(*aPart)) {
+      return domainsKnown_ && IsKnown(aName, aPart);
+    }
+    return (std::holds_alternative<RoutesPart>(*aPart) && routesKnown_) ||
+           (std::holds_alternative<KeysPart>(*aPart) && keysKnown_);
   }
 
   [[nodiscard]] bool IsKnown(std::string_view aName, const SharedPart& aPart) const
@@ -107,10 +122,20 @@
         CollectUnique(name, "/failure_domains", domains->failureDomains_, failureDomains_);
       } else if (const auto* teams = std::get_if<TeamsPart>(part.get())) {
         CollectUnique(name, "/teams", teams->teams_, teams_);
-      } else if (const auto* service = std::get_if<Service>(part.get())) {
-        services_.insert(service->name_);
       }
     }
+    services_ = ServiceNamesOf(parts_);
+  }
+
+  [[nodiscard]] static std::set<std::string_view> ServiceNamesOf(const DecodedParts& aParts)
+  {
+    std::set<std::string_view> names;
+    for (const auto& [name, part] : aParts) {
+      if (const auto* service = std::get_if<Service>(part.get())) {
+        names.insert(service->name_);
+      }
+    }
+    return names;
   }
 
   template<class Item>
@@ -180,12 +205,13 @@
 
   void Check(std::string_view aPart, const RoutesPart& aValue)
   {
-    std::set<std::string_view> names;
-    CollectUnique(aPart, "/routes", aValue.routes_, names);
-    std::set<std::tuple<std::string_view, std::string_view, std::string_view>> matches;
+    CollectUnique(aPart, "/routes", aValue.routes_, routes_);
     for (std::size_t i = 0; i < aValue.routes_.size(); ++i) {
       const auto& route = aValue.routes_[i];
       const auto path = "/routes/" + std::to_string(i);
+      if (aPart != RoutesPartName(route.name_)) {
+        AddFault(aPart, path + "/name", "a name that belongs to this part", route.name_);
+      }
       for (const auto& destination : route.destinations_) {
         if (!services_.contains(destination.service_)) {
           AddFault(aPart, path + "/service", "the name of a service", destination.service_);
@@ -193,7 +219,7 @@
       }
       static const std::vector<std::string> kAnyMethod{ "*" };
       for (const auto& method : route.methods_.empty() ? kAnyMethod : route.methods_) {
-        if (!matches.emplace(route.host_, method, route.pathPrefix_).second) {
+        if (!matches_.emplace(route.host_, method, route.pathPrefix_).second) {
           AddFault(aPart,
                    path + "/path_prefix",
                    "a host, method and path prefix that no other route has",
@@ -213,7 +239,7 @@
       if (!teams_.contains(key.team_)) {
         AddFault(aPart, path + "/team", "the name of a team", key.team_);
       }
-      if (aPart.back() != key.digest_.Hex().front()) {
+      if (aPart != KeysPartName(key.digest_)) {
         AddFault(aPart, path + "/sha256", "a digest that belongs to this part", key.digest_.Hex());
       }
       if (!keys_.insert(key.digest_).second) {
@@ -226,10 +252,15 @@
   const DecodedParts& parts_;
   const DecodedParts* known_;
   bool domainsKnown_ = false; ///< the failure domains are those of the known parts
+  bool routesKnown_ = false;  ///< so are the routes and the names of the services
+  bool keysKnown_ = false;    ///< so are the keys and the teams
   Faults faults_;
   std::set<std::string_view> failureDomains_;
   std::set<std::string_view> teams_;
   std::set<std::string_view> services_;
+  std::set<std::string_view> routes_;
+  /// Host, method and path prefix of each route.
+  std::set<std::tuple<std::string_view, std::string_view, std::string_view>> matches_;
   std::unordered_set<std::string_view> changedNodes_;
   std::set<Digest> keys_;
 };
--- a/src/version/snapshot_checks.hpp
+++ b/src/version/snapshot_checks.hpp
@@ -2,6 +2,8 @@
 
 #include "geraniumpin/version/snapshot.hpp"
 
+#include <algorithm>
+
 namespace geraniumpin::impl {
 
 /// \brief Checks completeness, uniqueness and every reference between the parts.
@@ -14,4 +16,21 @@
 [[nodiscard]] std::vector<const Service*>
 ServicesOnlyIn(const DecodedParts& aParts, const DecodedParts& aOther);
 
+/// \brief Says whether both sets have the same parts of a kind, as shared objects.
+template<class Part>
+[[nodiscard]] bool
+SharesPartsOf(const DecodedParts& aParts, const DecodedParts& aOther)
+{
+  const auto isShared = [](const DecodedParts& aFirst, const DecodedParts& aSecond) {
+    return std::all_of(aFirst.begin(), aFirst.end(), [&](const auto& aEntry) {
+      if (!std::holds_alternative<Part>(*aEntry.second)) {
+        return true;
+      }
+      const auto found = aSecond.find(aEntry.first);
+      return found != aSecond.end() && found->second == aEntry.second;
+    });
+  };
+  return isShared(aParts, aOther) && isShared(aOther, aParts);
+}
+
 } // namespace geraniumpin::impl
--- a/tests/version/version_store_test.cpp
+++ b/tests/version/version_store_test.cpp
@@ -5,6 +5,7 @@
 
 using namespace geraniumpin;
 using namespace geraniumpin::test;
+using nlohmann::json;
 
 namespace {
 
@@ -48,6 +49,54 @@
   BOOST_TEST(ahead.DeltaFrom({ 1, Digest::Of("unknown") }).from_.number_ == 0U);
 }
 
+// Load pattern "storm of versions": each version changes one route of hundreds.
+BOOST_AUTO_TEST_CASE(a_change_of_one_route_leaves_most_routes_out_of_the_delta)
+{
+  auto document = MakeDocument({ .version_ = 1 });
+  const auto route = document["routes"][0];
+  for (int i = 0; i < 800; ++i) {
+    auto copy = route;
+    copy["name"] = "idle-" + std::to_string(i);
+    copy["path_prefix"] = "/idle-" + std::to_string(i) + "/";
+    document["routes"].push_back(copy);
+  }
+  VersionStore store;
+  BOOST_REQUIRE(store.Apply(FullDelta(Encode(document)), kCodec));
+  const auto before = store.CurrentId();
+  std::size_t whole = 0;
+  for (const auto& [name, bytes] : store.DeltaFrom({}).changed_) {
+    whole += bytes->size();
+  }
+  document["version"] = 2;
+  document["routes"][3]["timeout_ms"] = 77;
+  BOOST_REQUIRE(store.Apply(FullDelta(Encode(document)), kCodec));
+  std::size_t changed = 0;
+  for (const auto& [name, bytes] : store.DeltaFrom(before).changed_) {
+    changed += bytes->size();
+  }
+  BOOST_TEST(changed * 8 < whole);
+  const auto* found = store.Current()->FindRoute("", "POST", "/idle-0/x");
+  BOOST_REQUIRE(found != nullptr);
+  BOOST_TEST(found->timeout_.count() == 77);
+}
+
+BOOST_AUTO_TEST_CASE(routes_that_stay_are_checked_against_services_that_go)
+{
+  auto document = MakeDocument({ .version_ = 1 });
+  auto files = document["services"][0];
+  files["name"] = "files";
+  files["backend_servers"] = json::array();
+  document["services"].push_back(files);
+  document["routes"][0]["service"] = "files";
+  VersionStore store;
+  BOOST_REQUIRE(store.Apply(FullDelta(Encode(document)), kCodec));
+  auto parts = Encode(document).parts_;
+  parts.erase("service/files");
+  const EncodedDocument dangling{ impl::ManifestOf(2, parts, {}, {}), parts };
+  BOOST_TEST(
+    (store.Apply(FullDelta(dangling), kCodec).error().refusal_ == VersionRefusal::Invalid));
+}
+
 // Load pattern "storm of versions": readers of the platform see different revisions of it.
 BOOST_AUTO_TEST_CASE(a_delta_from_a_version_never_seen_is_applied_if_its_content_fits)
 {
