Buckets of teams are deeper by a part of the tolerated slack: fewer refusals inside the rate

Change: setting limit_slack, requests by which a team may exceed its burst over all nodes, divided among the failure domains like the burst. Also: placement hashes the subject once for all nodes.

--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -48,6 +48,10 @@
   /// predecessor's leases; 0 keeps the limits strict.
   [[nodiscard]] double LimitTolerance() const noexcept { return limitTolerance_; }
   static constexpr double kLeastLimitTolerance = 0.2;
+  /// \brief Requests by which a team may exceed its burst, over all nodes.
+  ///
+  /// The bucket of a small team holds few tokens, and each of its callers may be at another node.
+  [[nodiscard]] double LimitSlack() const noexcept { return limitSlack_; }
   /// \brief Address that tells whether the node is ready; empty: none.
   [[nodiscard]] const NodeAddress& ReadyAddress() const noexcept { return ready_; }
   /// \brief The service of the backend server on this VM; empty: unknown.
@@ -85,6 +89,7 @@
   Interface interface_ = Interface::Own;
   bool platformIsLinearizable_ = false;
   double limitTolerance_ = 0;
+  double limitSlack_ = 0;
   NodeAddress ready_;
   std::string ownService_;
   std::vector<std::string> failureDomains_;
@@ -121,6 +126,7 @@
   SettingsBuilder& InterfaceForm(Interface aInterface);
   SettingsBuilder& PlatformIsLinearizable(bool aIs);
   SettingsBuilder& LimitTolerance(double aShare);
+  SettingsBuilder& LimitSlack(double aRequests);
   SettingsBuilder& ReadyAddress(NodeAddress aAddress);
   SettingsBuilder& OwnService(std::string aName);
   SettingsBuilder& FailureDomainNames(std::vector<std::string> aNames);
--- a/include/geraniumpin/process/team_limits.hpp
+++ b/include/geraniumpin/process/team_limits.hpp
@@ -35,12 +35,16 @@
 
 /// \brief The part of a team's limit that each failure domain grants.
 ///
-/// All failure domains of the document count, in service or not, with nodes or without.
+/// All failure domains of the document count, in service or not, with nodes or without. Answers the
+/// load pattern "small team": with the slack its bucket does not run dry when a few of its callers
+/// come together.
+/// \param aSlack Requests by which the team may exceed its burst, over all failure domains.
 [[nodiscard]] inline TeamShare
-ShareOf(const Snapshot& aSnapshot, const Team& aTeam)
+ShareOf(const Snapshot& aSnapshot, const Team& aTeam, double aSlack)
 {
   const auto parts = static_cast<double>(aSnapshot.FailureDomains().size());
-  return { .ratePerSecond_ = aTeam.ratePerSecond_ / parts, .burst_ = aTeam.burst_ / parts };
+  return { .ratePerSecond_ = aTeam.ratePerSecond_ / parts,
+           .burst_ = (aTeam.burst_ + aSlack) / parts };
 }
 
 /// \brief Team limits at one node: the leases that it holds and the buckets that it is home to.
@@ -222,7 +226,8 @@
     for (const auto& team : aSnapshot.Teams()) {
       const auto* home = HomeOf(aSnapshot, team.name_, domain);
       if (home != nullptr && *home == context_.Self()) {
-        gained = home_.SetShare(team.name_, ShareOf(aSnapshot, team), aNow) || gained;
+        const auto share = ShareOf(aSnapshot, team, context_.NodeSettings().LimitSlack());
+        gained = home_.SetShare(team.name_, share, aNow) || gained;
         teams.push_back(team.name_);
       }
     }
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -27,6 +27,7 @@
     "interface": { "type": "string", "enum": ["own", "users"] },
     "platform_is_linearizable": { "type": "boolean" },
     "limit_tolerance": { "type": "number", "minimum": 0, "maximum": 1 },
+    "limit_slack": { "type": "number", "minimum": 0, "maximum": 1000 },
     "ready_address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
     "service": { "type": "string", "maxLength": 63 },
     "failure_domains": { "type": "array", "items": { "type": "string", "minLength": 1 } },
@@ -84,6 +85,7 @@
     .InterfaceForm(aRoot.value("interface", "own") == "users" ? Interface::Users : Interface::Own)
     .PlatformIsLinearizable(aRoot.value("platform_is_linearizable", false))
     .LimitTolerance(aRoot.value("limit_tolerance", 0.0))
+    .LimitSlack(aRoot.value("limit_slack", 0.0))
     .OwnService(aRoot.value("service", std::string()))
     .FailureDomainNames(aRoot.value("failure_domains", std::vector<std::string>{}));
   std::vector<NodeAddress> seeds;
--- a/src/process/placement_hash.cpp
+++ b/src/process/placement_hash.cpp
@@ -10,12 +10,23 @@
 namespace impl {
 namespace {
 
-std::uint64_t
-Weight(std::string_view aSubject, const NodeAddress& aNode) noexcept
+/// Weighs nodes for one subject, whose hash is computed once.
+class NodeWeights
 {
-  const auto seed = XXH3_64bits(aSubject.data(), aSubject.size());
-  return XXH3_64bits_withSeed(aNode.Text().data(), aNode.Text().size(), seed);
-}
+public:
+  explicit NodeWeights(std::string_view aSubject) noexcept
+    : seed_(XXH3_64bits(aSubject.data(), aSubject.size()))
+  {
+  }
+
+  [[nodiscard]] std::uint64_t Of(const NodeAddress& aNode) const noexcept
+  {
+    return XXH3_64bits_withSeed(aNode.Text().data(), aNode.Text().size(), seed_);
+  }
+
+private:
+  std::uint64_t seed_;
+};
 
 } // namespace
 } // namespace impl
@@ -23,10 +34,11 @@
 std::vector<NodeAddress>
 RankNodes(std::string_view aSubject, const std::vector<NodeAddress>& aNodes)
 {
+  const impl::NodeWeights subject(aSubject);
   std::vector<std::pair<std::uint64_t, std::size_t>> weights;
   weights.reserve(aNodes.size());
   for (std::size_t i = 0; i < aNodes.size(); ++i) {
-    weights.emplace_back(impl::Weight(aSubject, aNodes[i]), i);
+    weights.emplace_back(subject.Of(aNodes[i]), i);
   }
   std::sort(weights.rbegin(), weights.rend());
   std::vector<NodeAddress> ranked;
@@ -40,10 +52,17 @@
 const NodeAddress&
 FirstNode(std::string_view aSubject, const std::vector<NodeAddress>& aNodes)
 {
-  return *std::max_element(
-    aNodes.begin(), aNodes.end(), [&](const NodeAddress& aLeft, const NodeAddress& aRight) {
-      return impl::Weight(aSubject, aLeft) < impl::Weight(aSubject, aRight);
-    });
+  const impl::NodeWeights subject(aSubject);
+  std::size_t first = 0;
+  auto greatest = subject.Of(aNodes.front());
+  for (std::size_t i = 1; i < aNodes.size(); ++i) {
+    const auto weight = subject.Of(aNodes[i]);
+    if (weight > greatest) {
+      first = i;
+      greatest = weight;
+    }
+  }
+  return aNodes[first];
 }
 
 std::size_t
@@ -51,9 +70,10 @@
        const NodeAddress& aNode,
        const std::vector<NodeAddress>& aNodes) noexcept
 {
-  const auto weight = impl::Weight(aSubject, aNode);
+  const impl::NodeWeights subject(aSubject);
+  const auto weight = subject.Of(aNode);
   const auto before = std::count_if(aNodes.begin(), aNodes.end(), [&](const NodeAddress& aOther) {
-    return impl::Weight(aSubject, aOther) > weight;
+    return subject.Of(aOther) > weight;
   });
   return static_cast<std::size_t>(before);
 }
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -102,6 +102,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::LimitSlack(double aRequests)
+{
+  settings_.limitSlack_ = aRequests;
+  return *this;
+}
+
 SettingsBuilder&
 SettingsBuilder::ReadyAddress(NodeAddress aAddress)
 {
--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -81,6 +81,34 @@
   BOOST_TEST(lent == 20U);
 }
 
+// Load pattern "small team": six of its callers come together, each at another node.
+BOOST_AUTO_TEST_CASE(the_slack_of_a_small_team_is_divided_like_its_burst)
+{
+  VersionStore store;
+  const auto document = MakeDocument({ .domains_ = 3, .rate_ = 6, .burst_ = 6 });
+  BOOST_REQUIRE(store.Apply(FullDelta(Encode(document)), JsonPartCodec{}));
+  const auto* team = store.Current()->FindTeam("small");
+  BOOST_REQUIRE(team != nullptr);
+  FakeClock clock;
+  const auto lentAtOnce = [&](double aSlack) {
+    LimitHome home;
+    (void)home.SetShare("small", ShareOf(*store.Current(), *team, aSlack), clock.Now());
+    home.Authorize(clock.Now());
+    clock.Set(clock.Now() + std::chrono::seconds(10));
+    std::uint32_t lent = 0;
+    for (int node = 1; node <= 6; ++node) {
+      lent += home.OnRequest(NodeAt(1, node), 1, { "small", 1, 1, {} }, clock.Now()).tokens_;
+    }
+    return lent;
+  };
+  BOOST_TEST(lentAtOnce(0) == 2U);
+  BOOST_TEST(lentAtOnce(12) == 6U);
+  // Over the three failure domains no more than the slack is added.
+  const auto share = ShareOf(*store.Current(), *team, 12);
+  BOOST_TEST(share.burst_ * 3 <= 6 + 12 + kRoundingSlack);
+  BOOST_TEST(share.ratePerSecond_ * 3 <= 6 + kRoundingSlack);
+}
+
 BOOST_AUTO_TEST_CASE(tokens_on_loan_count_against_the_burst_until_they_are_closed_or_ended)
 {
   LimitHome home;
