Calls are named by node and incarnation: nodes that start at the same instant do not collide

Two nodes wrote the same call id in their logs: the incarnation is the time of the start, which is equal for processes that start together on a machine that charges no processor time. The owner took the requests of one node for repeated messages of the other. Ruled out: lost wake-ups of the message sockets (the owner counted the messages as repeated). Change: a call id holds a hash of the node's address and incarnation.

--- a/include/geraniumpin/request/call.hpp
+++ b/include/geraniumpin/request/call.hpp
@@ -2,6 +2,7 @@
 
 #include "geraniumpin/process/clock.hpp"
 #include "geraniumpin/request/outcome.hpp"
+#include "geraniumpin/version/node_address.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -12,16 +13,22 @@
 
 namespace geraniumpin {
 
-/// \brief Names a request: the incarnation of the entry node and a sequence number in it.
+/// \brief Names a request among those of all nodes and incarnations.
 struct CallId
 {
-  std::uint64_t incarnation_ = 0;
+  std::uint64_t origin_ = 0; ///< of the entry node, see OriginOf
   std::uint64_t sequence_ = 0;
 
   auto operator<=>(const CallId&) const = default;
 };
 
-/// \brief Formats a call id as "incarnation-sequence" in hexadecimal.
+/// \brief Names one incarnation of one node.
+///
+/// Incarnations alone may be equal, since nodes that start together can read the same time.
+[[nodiscard]] std::uint64_t
+OriginOf(const NodeAddress& aNode, std::uint64_t aIncarnation) noexcept;
+
+/// \brief Formats a call id as "origin-sequence" in hexadecimal.
 [[nodiscard]] std::string
 ToString(const CallId& aId);
 
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -34,14 +34,14 @@
 void
 Write(const CallId& aFrom, wire::CallId& aTo)
 {
-  aTo.set_incarnation(aFrom.incarnation_);
+  aTo.set_origin(aFrom.origin_);
   aTo.set_sequence(aFrom.sequence_);
 }
 
 CallId
 Read(const wire::CallId& aFrom)
 {
-  return { aFrom.incarnation(), aFrom.sequence() };
+  return { aFrom.origin(), aFrom.sequence() };
 }
 
 void
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -68,7 +68,7 @@
     , callers_(loop_,
                aSettings.CallerAddress(),
                aSettings.MostBodyBytes(),
-               incarnation_,
+               OriginOf(aSettings.PeerAddress(), incarnation_),
                InterfaceType::Headers(),
                aSettings.OwnService(),
                { [this](const Call& aCall) { node_.OnCall(aCall); },
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -75,14 +75,14 @@
 CallerGateway::CallerGateway(EventLoop& aLoop,
                              const NodeAddress& aAddress,
                              std::size_t aMostBodyBytes,
-                             std::uint64_t aIncarnation,
+                             std::uint64_t aOrigin,
                              HeaderNames aNames,
                              std::string aOwnService,
                              CallerEvents aEvents)
   : names_(std::move(aNames))
   , ownService_(std::move(aOwnService))
   , mostBodyBytes_(aMostBodyBytes)
-  , incarnation_(aIncarnation)
+  , origin_(aOrigin)
   , events_(std::move(aEvents))
   , server_(aLoop,
             aAddress,
@@ -90,7 +90,7 @@
             { [this](ExchangeId aId, const HttpRequest& aRequest) { OnRequest(aId, aRequest); },
               [this](ExchangeId aId) {
                 requestIds_.erase(aId);
-                events_.onGone_({ incarnation_, aId });
+                events_.onGone_({ origin_, aId });
               } })
 {
 }
@@ -122,7 +122,7 @@
 void
 CallerGateway::OnRequest(ExchangeId aId, const HttpRequest& aRequest)
 {
-  const CallId id{ incarnation_, aId };
+  const CallId id{ origin_, aId };
   const auto& headers = aRequest.headers_;
   auto requestId = std::string(FindHeader(headers, names_.requestId_));
   requestIds_.emplace(aId, requestId);
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -28,7 +28,7 @@
   CallerGateway(EventLoop& aLoop,
                 const NodeAddress& aAddress,
                 std::size_t aMostBodyBytes,
-                std::uint64_t aIncarnation,
+                std::uint64_t aOrigin,
                 HeaderNames aNames,
                 std::string aOwnService,
                 CallerEvents aEvents);
@@ -53,7 +53,7 @@
   std::string ownService_;
   std::map<ExchangeId, std::string> requestIds_; ///< of the calls that wait for their answer
   std::size_t mostBodyBytes_;
-  std::uint64_t incarnation_;
+  std::uint64_t origin_;
   CallerEvents events_;
   HttpServer server_;
 };
--- a/src/request/call.cpp
+++ b/src/request/call.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <xxhash.h>
 
 namespace geraniumpin {
 
@@ -19,10 +20,16 @@
 } // namespace
 } // namespace impl
 
+std::uint64_t
+OriginOf(const NodeAddress& aNode, std::uint64_t aIncarnation) noexcept
+{
+  return XXH3_64bits_withSeed(aNode.Text().data(), aNode.Text().size(), aIncarnation);
+}
+
 std::string
 ToString(const CallId& aId)
 {
-  return impl::Hex(aId.incarnation_) + "-" + impl::Hex(aId.sequence_);
+  return impl::Hex(aId.origin_) + "-" + impl::Hex(aId.sequence_);
 }
 
 Body
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -36,6 +36,27 @@
   }
 }
 
+// Seen on a simulated machine that charges no processor time: a third of the requests hung, because
+// the owner took those of one node for repeated messages of another one.
+BOOST_AUTO_TEST_CASE(calls_of_nodes_that_started_at_the_same_instant_are_told_apart)
+{
+  FakeLinks links(1);
+  links.startTogether_ = true;
+  StartAll(links, kSmall);
+  std::vector<CallId> ids;
+  for (int round = 0; round < 10; ++round) {
+    for (const auto& node : { NodeAt(1, 1), NodeAt(1, 2), NodeAt(2, 1), NodeAt(2, 2) }) {
+      ids.push_back(links.Call(node, "small"));
+    }
+    links.Run(milliseconds(300));
+  }
+  for (const auto& id : ids) {
+    BOOST_REQUIRE(links.answers_.contains(id));
+    BOOST_TEST((links.answers_.at(id).outcome_ == Outcome::Answered));
+  }
+  BOOST_TEST(links.runs_.size() == ids.size());
+}
+
 BOOST_AUTO_TEST_CASE(a_call_without_or_with_a_wrong_key_does_not_run)
 {
   FakeLinks links(2);
@@ -72,7 +93,8 @@
     links.Run(milliseconds(50));
   }
   for (const auto& request : links.backendRequests_) {
-    BOOST_TEST(request.id_.call_.incarnation_ == 1U); // only calls that the entry node owned itself
+    // Only calls that the entry node owned itself.
+    BOOST_TEST(request.id_.call_.origin_ == OriginOf(NodeAt(1, 1), 1));
   }
   BOOST_TEST(links.At(entry).Status().version_.number_ == 1U);
   links.At(owner).OnEnvelope(
--- a/tests/support/fake_links.hpp
+++ b/tests/support/fake_links.hpp
@@ -76,6 +76,7 @@
   FakePorts ports_;
   FakeLog log_;
   std::uint64_t incarnation_ = 0;
+  std::uint64_t calls_ = 0; ///< requests that came to this node
   bool frozen_ = false;
   std::unique_ptr<Node<FakeEnvironment>> node_;
 };
@@ -118,8 +119,9 @@
     if (fake) {
       graveyard_.push_back(std::move(fake)); // its ports may still be referred to
     }
+    incarnations_ = startTogether_ ? 1 : incarnations_ + 1;
     fake =
-      std::make_unique<FakeNode>(FakeNode{ { *this, aNode, ++incarnations_ }, {}, incarnations_ });
+      std::make_unique<FakeNode>(FakeNode{ { *this, aNode, incarnations_ }, {}, incarnations_ });
     const auto port = [](const std::string& aIp, int aPort) {
       return *NodeAddress::Parse(aIp + ":" + std::to_string(aPort));
     };
@@ -173,7 +175,9 @@
               const std::string& aMethod = "POST",
               const std::string& aPath = "/orders/1")
   {
-    const CallId id{ nodes_.at(aNode)->incarnation_, ++calls_ };
+    auto& fake = *nodes_.at(aNode);
+    const CallId id{ OriginOf(aNode, fake.incarnation_), ++fake.calls_ };
+    ++calls_;
     const geraniumpin::Call call{ .id_ = id,
                                   .requestId_ = "r" + std::to_string(calls_),
                                   .method_ = aMethod,
@@ -230,6 +234,7 @@
   /// Says whether messages from the first to the second node are cut off.
   std::function<bool(const NodeAddress&, const NodeAddress&)> isCut_;
   bool platformDown_ = false;
+  bool startTogether_ = false; ///< nodes that start read the same time as their incarnation
   /// Says whether a node is cut off from the platform.
   std::function<bool(const NodeAddress&)> isPlatformCut_;
   std::map<NodeAddress, std::size_t> platformReads_;
