Parts travel compressed between nodes

Ruled out: decoding (1 ms for a change of one route, measured alone), placement hashes (0.04 ms). Change: the codec of parts compresses its JSON with zlib at the fastest level; parts are accepted in both forms.

--- /dev/null
+++ b/src/adapters/version/deflate.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace geraniumpin {
+
+/// \brief Compresses bytes in the zlib format; equal bytes give equal results.
+[[nodiscard]] std::string
+Deflate(std::string_view aBytes);
+
+/// \brief Says whether bytes begin like the zlib format.
+[[nodiscard]] bool
+IsDeflated(std::string_view aBytes) noexcept;
+
+/// \brief Restores what Deflate compressed.
+/// \param aMostBytes Largest result that is accepted.
+/// \returns Nothing if the bytes are damaged or the result would be larger.
+[[nodiscard]] std::optional<std::string>
+Inflate(std::string_view aBytes, std::size_t aMostBytes);
+
+} // namespace geraniumpin
--- a/src/adapters/version/document_json.cpp
+++ b/src/adapters/version/document_json.cpp
@@ -1,5 +1,6 @@
 #include "document_json.hpp"
 
+#include "deflate.hpp"
 #include "document_schema.hpp"
 #include "geraniumpin/version/part_split.hpp"
 #include "json_text.hpp"
@@ -419,6 +420,14 @@
   if (!impl::IsKnownPart(aName)) {
     return refuse("a part of an unknown kind");
   }
+  std::optional<std::string> inflated;
+  if (IsDeflated(aText)) {
+    inflated = Inflate(aText, impl::kMostPartBytes);
+    if (!inflated) {
+      return refuse("a damaged part, or one above a megabyte");
+    }
+    aText = *inflated;
+  }
   // Parts come from nodes that checked the whole document; here only their form is checked, since
   // the schema would take most of the time that a version costs.
   try {
@@ -435,7 +444,7 @@
 std::string
 JsonPartCodec::Encode(const PartValue& aPart) const
 {
-  return std::visit([](const auto& aValue) { return impl::Encode(aValue).dump(); }, aPart);
+  return Deflate(std::visit([](const auto& aValue) { return impl::Encode(aValue).dump(); }, aPart));
 }
 
 std::optional<VmList>
--- a/src/adapters/version/document_json.hpp
+++ b/src/adapters/version/document_json.hpp
@@ -14,15 +14,15 @@
 
 namespace geraniumpin {
 
-/// \brief Decodes published parts from JSON; satisfies PartCodec.
+/// \brief Encodes parts as compressed JSON for the way between nodes; satisfies PartCodec.
 class JsonPartCodec
 {
 public:
-  /// \brief Checks the text against the schema of its kind of part and decodes it.
+  /// \brief Decodes a part, compressed or not, and checks its form.
   [[nodiscard]] tl::expected<SharedPart, Faults> Decode(std::string_view aName,
                                                         std::string_view aText) const;
 
-  /// \brief Encodes a part; equal parts have equal texts.
+  /// \brief Encodes a part; equal parts have equal bytes.
   [[nodiscard]] std::string Encode(const PartValue& aPart) const;
 };
 
