Three watchers in failure domains of more than six nodes; one place that knows a reader's rank

Cause: each watcher of the store receives the whole document of the operators for every change, 200 KB and more with 800 routes, which fills a link of 10 Mbit/s for 0.2 s, and then decodes it on a tenth of a core. 18 of 63 nodes did so. Ruled out: fewer watchers in small failure domains, where all nodes go on watching: there a read costs less than passing versions on, and no node depends on a peer. Change: ReaderPlace says who watches; NodeContext computes it, in place of two copies in ConfigService and PlatformReader.

--- a/include/geraniumpin/process/config_service.hpp
+++ b/include/geraniumpin/process/config_service.hpp
@@ -46,7 +46,7 @@
     if (pushIsHere || now < pullAgainAt_) {
       return;
     }
-    if (RankAsReader() >= kWatchers) {
+    if (!context_.Versions().Current() || !context_.PlaceAsReader().IsWatcher()) {
       Pull(aEnvelope.sender_);
     } else if (!laterPull_) {
       laterPull_ = LaterPull{ aEnvelope.sender_, aEnvelope.announced_, now + kOwnReadFirst };
@@ -110,7 +110,7 @@
     if (Apply(aDelta, "platform")) {
       return false;
     }
-    const auto rank = RankAsReader();
+    const auto rank = context_.PlaceAsReader().rank_;
     if (rank < kSpreaders) {
       PushTo(Roots(), before);
     }
@@ -205,27 +205,6 @@
     TimePoint at_;
   };
 
-  [[nodiscard]] std::vector<NodeAddress> WorkingNodes() const
-  {
-    std::vector<NodeAddress> working;
-    const auto& domain = context_.NodeSettings().FailureDomainName();
-    for (const auto& node : context_.Versions().Current()->NodesOf(domain)) {
-      if (node == context_.Self() || context_.Members().TakesWork(node)) {
-        working.push_back(node);
-      }
-    }
-    return working;
-  }
-
-  [[nodiscard]] std::size_t RankAsReader() const
-  {
-    if (!context_.Versions().Current()) {
-      return kWatchers;
-    }
-    return RankOf(
-      ReaderSubject(context_.NodeSettings().FailureDomainName()), context_.Self(), WorkingNodes());
-  }
-
   [[nodiscard]] std::vector<NodeAddress> Children() const
   {
     return TreeChildren(context_.Versions().CurrentId().number_, context_.Self(), Members());
@@ -234,10 +213,10 @@
   /// The nodes among which a version spreads: those that do not read the platform themselves.
   [[nodiscard]] std::vector<NodeAddress> Members() const
   {
-    auto ranked =
-      RankNodes(ReaderSubject(context_.NodeSettings().FailureDomainName()), WorkingNodes());
-    ranked.erase(ranked.begin(),
-                 ranked.begin() + static_cast<std::ptrdiff_t>(std::min(kWatchers, ranked.size())));
+    auto ranked = RankNodes(ReaderSubject(context_.NodeSettings().FailureDomainName()),
+                            context_.WorkingNodes());
+    const auto watchers = ReaderPlace{ .members_ = ranked.size() }.Watchers();
+    ranked.erase(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(watchers));
     return ranked;
   }
 
--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -2,11 +2,14 @@
 
 #include "geraniumpin/process/environment.hpp"
 #include "geraniumpin/process/membership.hpp"
+#include "geraniumpin/process/placement_hash.hpp"
 #include "geraniumpin/process/settings.hpp"
+#include "geraniumpin/process/watch_duty.hpp"
 
 #include <deque>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace geraniumpin {
 
@@ -50,6 +53,34 @@
     }
   }
 
+  /// \brief Lists the nodes of the own failure domain that take work, this one included.
+  /// \returns Nothing before the first version.
+  [[nodiscard]] std::vector<NodeAddress> WorkingNodes() const
+  {
+    std::vector<NodeAddress> working;
+    if (!versions_.Current()) {
+      return working;
+    }
+    for (const auto& node : versions_.Current()->NodesOf(settings_.FailureDomainName())) {
+      if (node == Self() || membership_.TakesWork(node)) {
+        working.push_back(node);
+      }
+    }
+    return working;
+  }
+
+  /// \brief The place of this node among the readers of its failure domain; the first before it
+  /// knows a version, since it then knows of no other.
+  [[nodiscard]] ReaderPlace PlaceAsReader() const
+  {
+    if (!versions_.Current()) {
+      return {};
+    }
+    const auto working = WorkingNodes();
+    const auto subject = ReaderSubject(settings_.FailureDomainName());
+    return { .rank_ = RankOf(subject, Self(), working), .members_ = working.size() };
+  }
+
   /// \brief Takes the next message that this node sent to itself.
   [[nodiscard]] std::optional<Envelope> TakeLocal()
   {
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -318,31 +318,14 @@
 
   [[nodiscard]] bool HasDuty(TimePoint aNow) const
   {
-    return HasWatchDuty({ .rank_ = Rank(), .platformAge_ = freshness_.Age(aNow) });
-  }
-
-  /// The place of this node among the readers of its failure domain; it is the first while it knows
-  /// of no other.
-  [[nodiscard]] std::size_t Rank() const
-  {
-    const auto& snapshot = context_.Versions().Current();
-    if (!snapshot) {
-      return 0;
-    }
-    const auto& domain = context_.NodeSettings().FailureDomainName();
-    std::vector<NodeAddress> working;
-    for (const auto& node : snapshot->NodesOf(domain)) {
-      if (context_.Members().TakesWork(node)) {
-        working.push_back(node);
-      }
-    }
-    return RankOf(ReaderSubject(domain), context_.Self(), working);
+    return HasWatchDuty(
+      { .place_ = context_.PlaceAsReader(), .platformAge_ = freshness_.Age(aNow) });
   }
 
   void Fail(std::string_view aDetail)
   {
     context_.Measures().Count("platform_read_failures");
-    auto& backoff = Rank() < kWatchers ? backoff_ : standInBackoff_;
+    auto& backoff = context_.PlaceAsReader().IsWatcher() ? backoff_ : standInBackoff_;
     nextRead_ = context_.Now() + kLeastGap + backoff.Draw(context_.Outside().random_);
     backoff = backoff.AfterFailure();
     if (!std::exchange(failing_, true)) {
--- a/include/geraniumpin/process/watch_duty.hpp
+++ b/include/geraniumpin/process/watch_duty.hpp
@@ -8,19 +8,39 @@
 
 namespace geraniumpin {
 
+/// \brief Most nodes of a failure domain in which each holds a watch at the platform, since a read is
+/// cheaper there than passing versions on.
+inline constexpr std::size_t kAllWatch = 6;
+
+/// \brief Nodes that hold a watch in larger failure domains: two may fail together.
+///
+/// Each change brings every watcher the whole document of the operators, which passing on does not.
+inline constexpr std::size_t kWatchers = 3;
+
+/// \brief The place of a node among the working members of its failure domain as readers.
+struct ReaderPlace
+{
+  const std::size_t rank_ = 0;
+  const std::size_t members_ = 1; ///< working nodes of the failure domain, itself included
+
+  [[nodiscard]] constexpr std::size_t Watchers() const noexcept
+  {
+    return members_ <= kAllWatch ? members_ : kWatchers;
+  }
+  [[nodiscard]] constexpr bool IsWatcher() const noexcept { return rank_ < Watchers(); }
+
+  auto operator<=>(const ReaderPlace&) const = default;
+};
+
 /// \brief What decides whether a node reads the platform.
 struct WatchFacts
 {
-  const std::size_t rank_ = 0;   ///< among the working members of the failure domain
+  const ReaderPlace place_;
   const Duration platformAge_{}; ///< since anyone known read the platform
 
   auto operator<=>(const WatchFacts&) const = default;
 };
 
-/// \brief Nodes per failure domain that hold a watch at the platform. In a failure domain of up to
-/// so many nodes each reads for itself, since a read is cheaper there than passing versions on.
-inline constexpr std::size_t kWatchers = 6;
-
 /// \brief Age of the platform's last news at which the first stand-in takes over.
 inline constexpr std::chrono::milliseconds kWatchTakeOver{ 5000 };
 
@@ -38,11 +58,11 @@
 [[nodiscard]] constexpr bool
 HasWatchDuty(const WatchFacts& aFacts) noexcept
 {
-  if (aFacts.rank_ < kWatchers) {
+  if (aFacts.place_.IsWatcher()) {
     return true;
   }
-  const auto place = static_cast<std::int64_t>(aFacts.rank_ - kWatchers);
-  return aFacts.platformAge_ > kWatchTakeOver + place * kWatchStagger;
+  const auto turn = static_cast<std::int64_t>(aFacts.place_.rank_ - aFacts.place_.Watchers());
+  return aFacts.platformAge_ > kWatchTakeOver + turn * kWatchStagger;
 }
 
 } // namespace geraniumpin
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -119,11 +119,29 @@
 
 BOOST_AUTO_TEST_CASE(later_ranks_read_the_platform_only_after_longer_silence)
 {
-  BOOST_TEST(HasWatchDuty({ .rank_ = 0, .platformAge_ = {} }));
-  BOOST_TEST(!HasWatchDuty({ .rank_ = kWatchers, .platformAge_ = kWatchTakeOver }));
-  BOOST_TEST(
-    HasWatchDuty({ .rank_ = kWatchers, .platformAge_ = kWatchTakeOver + milliseconds(1) }));
-  BOOST_TEST(!HasWatchDuty({ .rank_ = 100, .platformAge_ = milliseconds(60000) }));
+  const auto at = [](std::size_t aRank, std::size_t aMembers, Duration aAge) {
+    return HasWatchDuty({ .place_ = { aRank, aMembers }, .platformAge_ = aAge });
+  };
+  BOOST_TEST(at(0, 100, {}));
+  BOOST_TEST(!at(kWatchers, 100, kWatchTakeOver));
+  BOOST_TEST(at(kWatchers, 100, kWatchTakeOver + milliseconds(1)));
+  BOOST_TEST(!at(100, 200, milliseconds(60000)));
+}
+
+// Load pattern "storm of versions": each watcher gets the whole document for every change.
+BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_failure_domain_watch_and_three_of_a_large_one)
+{
+  const auto watchers = [](std::size_t aMembers) {
+    std::size_t count = 0;
+    for (std::size_t rank = 0; rank < aMembers; ++rank) {
+      count += HasWatchDuty({ .place_ = { rank, aMembers }, .platformAge_ = {} }) ? 1 : 0;
+    }
+    return count;
+  };
+  BOOST_TEST(watchers(1) == 1U);
+  BOOST_TEST(watchers(6) == 6U);
+  BOOST_TEST(watchers(7) == 3U);
+  BOOST_TEST(watchers(1200) == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(freshness_only_gets_younger_through_reports)
