Owners are asked for a sign of life when their work takes longer than usual; own class for it

Change: SilenceWatch, out of EntryService. The first limit follows the usual time at the instance (1.25 of it, at most 0.4 of the target), the second the target (0.3 of it); both at least 100 ms as before.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/instance_hints.hpp"
 #include "geraniumpin/process/node_context.hpp"
+#include "geraniumpin/process/silence_watch.hpp"
 #include "geraniumpin/process/team_limits.hpp"
 #include "geraniumpin/request/destination_choice.hpp"
 #include "geraniumpin/request/entry_call.hpp"
@@ -27,8 +28,6 @@
 
   /// Longest wait of a request while every home node of its team has no token.
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
-  /// Time without a word from an owner after which its requests are tried elsewhere.
-  static constexpr std::chrono::milliseconds kSilenceCheck{ 100 };
   /// Least HTTP status that tells a failure of the instance.
   static constexpr int kServerError = 500;
   /// Share of the target latency that such a wait may take.
@@ -136,8 +135,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       OnDeadline(calls_.at(deadlines_.begin()->second));
     }
-    while (!silenceChecks_.empty() && silenceChecks_.begin()->first <= now) {
-      const auto id = silenceChecks_.extract(silenceChecks_.begin()).value().second;
+    for (const auto& id : silence_.TakeDue(now)) {
       OnSilenceCheck(id);
     }
     std::vector<std::string> teams;
@@ -152,12 +150,10 @@
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const
   {
     if (deadlines_.empty()) {
-      return std::nullopt;
-    }
-    auto next = deadlines_.begin()->first;
-    if (!silenceChecks_.empty()) {
-      next = std::min(next, silenceChecks_.begin()->first);
+      return std::nullopt; // no request is left
     }
+    auto next = std::min(deadlines_.begin()->first,
+                         silence_.NextDeadline().value_or(TimePoint::max()));
     for (const auto& [team, ids] : waiting_) {
       const auto retryAt = std::min(limits_.RetryAt(team), ExhaustedUntil(calls_.at(*ids.begin())));
       next = std::min(next, std::max(retryAt, context_.Now() + kLeastPause));
@@ -290,7 +286,7 @@
     const auto remaining = aCall.deadline_ - now;
     hints_.OnSent(chosen->node_);
     aCall.sentAt_ = now;
-    silenceChecks_.emplace(now + kSilenceCheck, call.id_);
+    silence_.Begin(call.id_, now + SilenceLimitsFor(aCall).untilAsked_);
     context_.Send(chosen->node_,
                   CallRequest{ .id_ = call.id_,
                                .attempt_ = aCall.attempts_,
@@ -426,26 +422,28 @@
     }
     auto& call = found->second;
     const auto now = context_.Now();
-    silenceChecks_.emplace(now + kSilenceCheck, aId);
-    const auto probe = silenceProbes_.find(call.owner_);
-    if (!IsOwnerSilent(call)) {
-      if (probe != silenceProbes_.end()) {
-        silenceProbes_.erase(probe);
-      }
-      return;
-    }
-    // An instance may work for long while its node has nothing else to say, so the node is asked.
-    if (probe == silenceProbes_.end() || probe->second < call.sentAt_) {
-      silenceProbes_.insert_or_assign(call.owner_, now);
-      context_.Send(call.owner_, Heartbeat{ .wantsReply_ = true });
-      return;
-    }
-    if (now - probe->second >= kSilenceCheck) {
-      silenceProbes_.erase(probe);
-      OnSilentOwner(call);
+    const auto limits = SilenceLimitsFor(call);
+    silence_.Begin(aId, now + limits.untilSilent_);
+    const SilenceWatch::Facts facts{ call.sentAt_, !IsOwnerSilent(call), limits.untilSilent_ };
+    switch (silence_.Judge(call.owner_, facts, now)) {
+      case SilenceStep::Wait:
+        break;
+      case SilenceStep::Ask:
+        // An instance may work for long while its node has nothing else to say.
+        context_.Send(call.owner_, Heartbeat{ .wantsReply_ = true });
+        break;
+      case SilenceStep::Silent:
+        OnSilentOwner(call);
+        break;
     }
   }
 
+  [[nodiscard]] SilenceLimits SilenceLimitsFor(const EntryCall& aCall) const
+  {
+    const auto& route = aCall.decision_.route_;
+    return SilenceLimitsOf(hints_.ExpectedTime(aCall.owner_, route.name_), route.targetLatency_);
+  }
+
   void OnSilentOwner(EntryCall& aCall)
   {
     hints_.Avoid(aCall.owner_, context_.Now());
@@ -539,6 +537,7 @@
   {
     const auto id = aCall->first;
     StopWaiting(aCall->second);
+    silence_.End(id);
     deadlines_.erase({ aCall->second.deadline_, id });
     deadlines_.erase({ aCall->second.call_.arrivedAt_ + kTokenWait, id });
     calls_.erase(aCall);
@@ -554,8 +553,7 @@
   Calls calls_;
   std::map<std::string, std::set<CallId>> waiting_;
   std::set<std::pair<TimePoint, CallId>> deadlines_;
-  std::set<std::pair<TimePoint, CallId>> silenceChecks_;
-  std::map<NodeAddress, TimePoint> silenceProbes_; ///< owners that were asked for a sign of life
+  SilenceWatch silence_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/instance_hints.hpp
+++ b/include/geraniumpin/process/instance_hints.hpp
@@ -32,6 +32,9 @@
   /// \brief Notes how long the instance behind the node took for a request of the route.
   void OnServed(const NodeAddress& aNode, const std::string& aRoute, Duration aTook);
 
+  /// \brief The smoothed time at the instance behind the node for a route; 0: unknown.
+  [[nodiscard]] Duration ExpectedTime(const NodeAddress& aNode, const std::string& aRoute) const;
+
   /// \brief Passes the instance over for a while.
   void Avoid(const NodeAddress& aNode, TimePoint aNow);
 
--- a/src/process/instance_hints.cpp
+++ b/src/process/instance_hints.cpp
@@ -34,18 +34,25 @@
   }
 }
 
-double
-InstanceHints::CostShare(const NodeAddress& aNode, const Route& aRoute) const
+Duration
+InstanceHints::ExpectedTime(const NodeAddress& aNode, const std::string& aRoute) const
 {
   const auto entry = entries_.find(aNode);
   if (entry == entries_.end()) {
-    return 0;
+    return {};
   }
-  const auto cost = entry->second.costs_.find(aRoute.name_);
-  if (cost == entry->second.costs_.end() || aRoute.targetLatency_.count() == 0) {
+  const auto cost = entry->second.costs_.find(aRoute);
+  return cost == entry->second.costs_.end() ? Duration{} : cost->second;
+}
+
+double
+InstanceHints::CostShare(const NodeAddress& aNode, const Route& aRoute) const
+{
+  if (aRoute.targetLatency_.count() == 0) {
     return 0;
   }
-  return std::chrono::duration<double>(cost->second) / aRoute.targetLatency_;
+  const std::chrono::duration<double> expected = ExpectedTime(aNode, aRoute.name_);
+  return expected / aRoute.targetLatency_;
 }
 
 void
