Failing and hanging instances weigh more; a request that was held up has less time left

Cause, first: an instance that fails part of its work fast, or hangs until its callers leave, reported a low load: failures counted as successes, cancelled work as nothing. Change: both count as lost work in the load that an owner reports; the concurrency limit follows refusals and hung work only. Change: messages carry their sender's clock reading, LinkDelay takes the lowest difference as the usual way, and the rest is taken off. Tests seen failing first: work_that_is_cancelled_long_after_its_usual_time_counts..., and a_request_that_was_held_up_beyond_its_deadline_does_not_run (with the change taken out). The test of Admission's load for failures was not seen failing.

--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -170,6 +170,7 @@
   const std::uint64_t senderIncarnation_ = 0;
   const std::uint64_t receiverIncarnation_ = 0; ///< 0 if the sender does not know it
   const VersionId announced_;
+  const Duration sentAt_{}; ///< reading of the sender's clock; 0 if it does not say
   const Payload payload_;
 };
 
--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -37,9 +37,10 @@
 {
 public:
   static constexpr std::size_t kMostQueuedPerTeam = 64;
-  /// Weight of the newest request in the share of refused ones.
-  static constexpr double kShedSmoothing = 0.2;
-  /// Least share of successes that Load reckons with; bounds the load of a server that only refuses.
+  /// Weight of the newest request in the share of refused and failed ones.
+  static constexpr double kLostSmoothing = 0.2;
+  /// Least share of successes that Load reckons with; bounds the load of a server that only
+  /// refuses.
   static constexpr double kLeastSuccessShare = 0.05;
 
   /// \param aSlots Requests that the backend server bears when warm.
@@ -89,8 +90,8 @@
     controller_ = controller_.After({ aResult, aStartedAt, aNow, inFlight_ });
     --inFlight_;
     if (aResult != WorkResult::Ignored) {
-      const double shed = aResult == WorkResult::Shed ? 1 : 0;
-      shedShare_ += (hasSample_ ? kShedSmoothing : 1) * (shed - shedShare_);
+      const double lost = aResult == WorkResult::Success ? 0 : 1;
+      lostShare_ += (hasSample_ ? kLostSmoothing : 1) * (lost - lostShare_);
       hasSample_ = true;
     }
     if (aResult == WorkResult::Success) {
@@ -143,13 +144,13 @@
   /// \brief Running and queued requests as a share of the concurrency limit, times the attempts
   /// that a request needs here to succeed.
   ///
-  /// Answers the load pattern "instance that refuses": it answers so fast that it would seem idle,
-  /// and one that refuses nearly everything must not be preferred to a busy one.
+  /// Answers the load patterns "instance that refuses" and "instance that fails part of its work":
+  /// it answers so fast that it would seem idle, and must not be preferred to a busy one.
   [[nodiscard]] double Load(TimePoint aNow) const
   {
     const double share = (inFlight_ + static_cast<double>(queue_.Size())) / controller_.Limit();
-    const double successShare = std::max(kLeastSuccessShare, 1 - shedShare_);
-    return (std::max(share, gate_.Load(aNow)) + shedShare_) / successShare;
+    const double successShare = std::max(kLeastSuccessShare, 1 - lostShare_);
+    return (std::max(share, gate_.Load(aNow)) + lostShare_) / successShare;
   }
 
 private:
@@ -181,7 +182,7 @@
   std::uint32_t inFlight_ = 0;
   Duration serviceTime_{};
   bool hasSample_ = false;
-  double shedShare_ = 0; ///< of the latest requests
+  double lostShare_ = 0; ///< of the latest requests, refused or failed
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/concurrency_controller.hpp
+++ b/include/geraniumpin/process/concurrency_controller.hpp
@@ -14,6 +14,7 @@
 {
   Success,
   Shed,   ///< the backend server refused, timed out or broke the connection
+  Failed, ///< it answered with a failure of its own, which may come fast
   Ignored ///< says nothing about load, for example a cancelled request
 };
 
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -28,8 +28,6 @@
 
   /// Longest wait of a request while every home node of its team has no token.
   static constexpr std::chrono::milliseconds kExhaustedWait{ 100 };
-  /// Least HTTP status that tells a failure of the instance.
-  static constexpr int kServerError = 500;
   /// Share of the target latency that such a wait may take.
   static constexpr double kExhaustedShareOfTarget = 0.1;
   /// When a request beyond the rate may be repeated, as a share of its target latency: tokens come
@@ -152,8 +150,8 @@
     if (deadlines_.empty()) {
       return std::nullopt; // no request is left
     }
-    auto next = std::min(deadlines_.begin()->first,
-                         silence_.NextDeadline().value_or(TimePoint::max()));
+    auto next =
+      std::min(deadlines_.begin()->first, silence_.NextDeadline().value_or(TimePoint::max()));
     for (const auto& [team, ids] : waiting_) {
       const auto retryAt = std::min(limits_.RetryAt(team), ExhaustedUntil(calls_.at(*ids.begin())));
       next = std::min(next, std::max(retryAt, context_.Now() + kLeastPause));
@@ -364,7 +362,7 @@
       aCall.mayHaveRun_ = aCall.mayHaveRun_ || aAnswer.outcome_ == Outcome::Unknown;
       aCall.instances_.insert(aCall.instance_);
     }
-    const bool failed = aAnswer.outcome_ == Outcome::Answered && aAnswer.status_ >= kServerError;
+    const bool failed = aAnswer.outcome_ == Outcome::Answered && IsServerError(aAnswer.status_);
     if (aAnswer.outcome_ == Outcome::Answered && aCall.answered_ == std::nullopt) {
       aCall.answered_.emplace(aAnswer);
     }
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/link_delay.hpp"
 #include "geraniumpin/process/config_service.hpp"
 #include "geraniumpin/process/entry_service.hpp"
 #include "geraniumpin/process/gossip_service.hpp"
@@ -57,7 +58,10 @@
   /// \brief Takes in a message of a peer.
   void OnEnvelope(const Envelope& aEnvelope)
   {
+    delay_ = {};
     if (aEnvelope.sender_ != context_.Self()) {
+      delay_ = linkDelay_.OnMessage(
+        aEnvelope.sender_, aEnvelope.senderIncarnation_, aEnvelope.sentAt_, context_.Now());
       gossip_.OnEnvelope(aEnvelope);
       config_.OnAnnounced(aEnvelope);
     }
@@ -187,7 +191,7 @@
 private:
   void On(const Envelope& aEnvelope, const CallRequest& aPayload)
   {
-    owner_.OnRequest(aEnvelope, aPayload);
+    owner_.OnRequest(aEnvelope, aPayload, delay_);
   }
   void On(const Envelope& aEnvelope, const CallReply& aPayload)
   {
@@ -233,6 +237,7 @@
 
   void DeliverLocal()
   {
+    delay_ = {};
     while (auto envelope = context_.TakeLocal()) {
       std::visit([&](const auto& aPayload) { On(*envelope, aPayload); }, envelope->payload_);
     }
@@ -257,6 +262,8 @@
   ConfigService<Env> config_;
   PlatformReader<Env> reader_;
   GossipService<Env> gossip_;
+  LinkDelay linkDelay_;
+  Duration delay_{}; ///< of the message that is being taken in, beyond the usual
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -45,6 +45,7 @@
                        .senderIncarnation_ = incarnation_,
                        .receiverIncarnation_ = membership_.IncarnationOf(aPeer),
                        .announced_ = versions_.CurrentId(),
+                       .sentAt_ = Now().time_since_epoch(),
                        .payload_ = aPayload };
     if (aPeer == Self()) {
       local_.push_back(std::move(envelope));
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -30,6 +30,9 @@
   /// Time after which the platform shows that an instance has turned cold: two of its reports.
   static constexpr std::chrono::milliseconds kColdReportLag{ 2000 };
 
+  /// Cancelled work that ran for so many times the usual time counts as lost.
+  static constexpr int kOverdueFactor = 4;
+
   OwnerService(NodeContext<Env>& aContext, CallTokens& aTokens)
     : context_(aContext)
     , tokens_(aTokens)
@@ -80,18 +83,19 @@
   }
 
   /// \brief Takes in an attempt; a repeated message of one is dropped.
-  void OnRequest(const Envelope& aEnvelope, const CallRequest& aRequest)
+  /// \param aDelay Time that the message was on its way beyond the usual; it is no longer left.
+  void OnRequest(const Envelope& aEnvelope, const CallRequest& aRequest, Duration aDelay)
   {
     const AttemptId id{ aRequest.id_, aRequest.attempt_ };
     if (attempts_.contains(id) || finished_.contains(id)) {
       context_.Measures().Count("repeated_attempts");
       return;
     }
-    if (const auto refusal = Check(aEnvelope, aRequest)) {
+    if (const auto refusal = Check(aEnvelope, aRequest, aDelay)) {
       Reply(aEnvelope.sender_, id, Answer::Refused(Outcome::NotRun, *refusal));
       return;
     }
-    Offer(id, aEnvelope.sender_, aRequest);
+    Offer(id, aEnvelope.sender_, aRequest, aDelay);
   }
 
   /// \brief Stops an attempt that nobody waits for any more.
@@ -109,8 +113,9 @@
     }
     context_.Outside().backend_.Cancel(id);
     const auto startedAt = found->second.startedAt_;
+    const auto result = ResultOfCancelled(found->second);
     End(id, Answer::Refused(Outcome::Unknown, Reason::Cancelled));
-    Act(admission_.OnEnd(WorkResult::Ignored, startedAt, context_.Now()));
+    Act(admission_.OnEnd(result, startedAt, context_.Now()));
   }
 
   /// \brief Takes in how the backend server ended an attempt.
@@ -123,7 +128,7 @@
     const auto startedAt = found->second.startedAt_;
     context_.Measures().Record("backend_ms", context_.Now() - startedAt);
     NoteAvailability(aEnd.result_);
-    auto actions = admission_.OnEnd(ResultOf(aEnd.result_), startedAt, context_.Now());
+    auto actions = admission_.OnEnd(ResultOf(aEnd), startedAt, context_.Now());
     End(aEnd.id_, AnswerOf(aEnd));
     Act(actions);
   }
@@ -157,7 +162,8 @@
 
 private:
   [[nodiscard]] std::optional<Reason> Check(const Envelope& aEnvelope,
-                                            const CallRequest& aRequest) const
+                                            const CallRequest& aRequest,
+                                            Duration aDelay) const
   {
     const bool earlierIncarnation = aEnvelope.receiverIncarnation_ != 0 &&
                                     aEnvelope.receiverIncarnation_ != context_.Incarnation();
@@ -167,7 +173,7 @@
     if (context_.Members().IsLeaving()) {
       return Reason::Draining;
     }
-    if (aRequest.remaining_ <= Duration{}) {
+    if (aRequest.remaining_ <= aDelay) {
       return Reason::DeadlinePassed;
     }
     const auto& snapshot = context_.Versions().Current();
@@ -242,15 +248,18 @@
     }
   }
 
-  void Offer(const AttemptId& aId, const NodeAddress& aEntry, const CallRequest& aRequest)
+  void Offer(const AttemptId& aId,
+             const NodeAddress& aEntry,
+             const CallRequest& aRequest,
+             Duration aDelay)
   {
     const auto now = context_.Now();
-    const QueuedWork<AttemptId> work{ aId,
-                                      aRequest.team_,
-                                      ExpectedCost(aRequest.route_),
-                                      now + aRequest.remaining_,
-                                      aRequest.rank_,
-                                      now + std::min(aRequest.patience_, aRequest.remaining_) };
+    const auto deadline = now + aRequest.remaining_ - aDelay;
+    const auto patience = std::max(Duration{}, aRequest.patience_ - aDelay);
+    const QueuedWork<AttemptId> work{
+      aId,      aRequest.team_, ExpectedCost(aRequest.route_),
+      deadline, aRequest.rank_, std::min(deadline, now + patience)
+    };
     const auto admitted = admission_.Offer(work, now);
     WriteAdmission(aId, aRequest, admitted);
     if (!admitted) {
@@ -379,9 +388,21 @@
     return found == costs_.end() ? admission_.ServiceTime() : found->second;
   }
 
-  [[nodiscard]] static WorkResult ResultOf(BackendResult aResult) noexcept
+  [[nodiscard]] static WorkResult ResultOf(const BackendEnd& aEnd) noexcept
+  {
+    if (aEnd.result_ != BackendResult::Answered) {
+      return WorkResult::Shed;
+    }
+    return IsServerError(aEnd.status_) ? WorkResult::Failed : WorkResult::Success;
+  }
+
+  /// Answers the load pattern "instance that hangs": its callers leave before it has answered.
+  [[nodiscard]] WorkResult ResultOfCancelled(const OwnedAttempt& aAttempt) const
   {
-    return aResult == BackendResult::Answered ? WorkResult::Success : WorkResult::Shed;
+    const auto expected = ExpectedCost(aAttempt.request_.route_);
+    const auto ran = context_.Now() - aAttempt.startedAt_;
+    const bool overdue = expected > Duration{} && ran > expected * kOverdueFactor;
+    return overdue ? WorkResult::Shed : WorkResult::Ignored;
   }
 
   [[nodiscard]] static Answer AnswerOf(const BackendEnd& aEnd)
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -367,7 +367,7 @@
   TimePoint lapseEndsAt_;
   std::shared_ptr<const Published> encodedDocument_;
   std::set<std::string> splitParts_; ///< names of the parts with routes and keys
-  DecodedParts values_; ///< what was encoded last, by part
+  DecodedParts values_;              ///< what was encoded last, by part
   std::map<std::string, SharedBytes> bytes_;
   PartDigests digests_;
 };
--- a/include/geraniumpin/process/watch_duty.hpp
+++ b/include/geraniumpin/process/watch_duty.hpp
@@ -8,8 +8,8 @@
 
 namespace geraniumpin {
 
-/// \brief Most nodes of a failure domain in which each holds a watch at the platform, since a read is
-/// cheaper there than passing versions on.
+/// \brief Most nodes of a failure domain in which each holds a watch at the platform, since a read
+/// is cheaper there than passing versions on.
 inline constexpr std::size_t kAllWatch = 6;
 
 /// \brief Nodes that hold a watch in larger failure domains: two may fail together.
--- a/include/geraniumpin/request/outcome.hpp
+++ b/include/geraniumpin/request/outcome.hpp
@@ -47,6 +47,13 @@
 [[nodiscard]] bool
 SaysInstanceIsAway(Reason aReason) noexcept;
 
+/// \brief Says whether an HTTP status tells a failure of the instance.
+[[nodiscard]] constexpr bool
+IsServerError(int aStatus) noexcept
+{
+  return aStatus >= 500;
+}
+
 /// \brief Returns the outcome as a lower-case word with underscores.
 [[nodiscard]] std::string_view
 ToString(Outcome aOutcome) noexcept;
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -388,6 +388,7 @@
   message.set_sender_incarnation(aEnvelope.senderIncarnation_);
   message.set_receiver_incarnation(aEnvelope.receiverIncarnation_);
   impl::Write(aEnvelope.announced_, *message.mutable_announced());
+  message.set_sent_at_us(impl::Microseconds(aEnvelope.sentAt_));
   std::visit([&](const auto& aPayload) { impl::Write(aPayload, message); }, aEnvelope.payload_);
   return message.SerializeAsString();
 }
@@ -408,6 +409,7 @@
                    .senderIncarnation_ = message.sender_incarnation(),
                    .receiverIncarnation_ = message.receiver_incarnation(),
                    .announced_ = impl::Read(message.announced()),
+                   .sentAt_ = impl::FromMicroseconds(message.sent_at_us()),
                    .payload_ = std::move(*payload) };
 }
 
--- a/src/adapters/version/deflate.cpp
+++ b/src/adapters/version/deflate.cpp
@@ -9,7 +9,7 @@
 namespace impl {
 namespace {
 
-constexpr char kZlibHeader = 0x78;         // deflate with a window of 32 KB
+constexpr char kZlibHeader = 0x78;          // deflate with a window of 32 KB
 constexpr std::size_t kInflateStep = 65536; // bytes by which the result grows
 
 /// Ends the decompression on every way out.
@@ -43,8 +43,7 @@
                                aBytes.size(),
                                Z_BEST_SPEED);
   if (result != Z_OK) {
-    throw std::runtime_error("zlib could not compress " + std::to_string(aBytes.size()) +
-                             " bytes");
+    throw std::runtime_error("zlib could not compress " + std::to_string(aBytes.size()) + " bytes");
   }
   deflated.resize(length);
   return deflated;
--- a/src/process/concurrency_controller.cpp
+++ b/src/process/concurrency_controller.cpp
@@ -26,6 +26,13 @@
   return aBaseline + kBaselineDrift * (aLatency - aBaseline);
 }
 
+// A failure may come from anything, and its latency is not that of work.
+bool
+TellsOfLoad(WorkResult aResult) noexcept
+{
+  return aResult != WorkResult::Ignored && aResult != WorkResult::Failed;
+}
+
 double
 Clamped(double aLimit, double aCeiling) noexcept
 {
@@ -39,7 +46,7 @@
 AimdController::After(const WorkSample& aSample) const noexcept
 {
   auto next = *this;
-  if (aSample.result_ == WorkResult::Ignored) {
+  if (!impl::TellsOfLoad(aSample.result_)) {
     return next;
   }
   const bool staleSignal = aSample.startedAt_ < decreasedAt_;
@@ -91,7 +98,7 @@
 SlotController::After(const WorkSample& aSample) const noexcept
 {
   auto next = *this;
-  if (aSample.result_ == WorkResult::Ignored) {
+  if (!impl::TellsOfLoad(aSample.result_)) {
     return next;
   }
   if (aSample.result_ == WorkResult::Shed) {
@@ -124,7 +131,7 @@
 GradientController::After(const WorkSample& aSample) const noexcept
 {
   auto next = *this;
-  if (aSample.result_ == WorkResult::Ignored) {
+  if (!impl::TellsOfLoad(aSample.result_)) {
     return next;
   }
   if (aSample.result_ == WorkResult::Shed) {
--- a/src/process/silence_watch.cpp
+++ b/src/process/silence_watch.cpp
@@ -32,8 +32,8 @@
       impl::Scaled(aTarget, aShare), impl::kShortest, Duration(impl::kLongest));
   };
   const auto expected = impl::Scaled(aExpected, impl::kExpectedMargin);
-  return { .untilAsked_ = std::clamp<Duration>(
-             expected, impl::kShortest, within(impl::kMostShareUntilAsked)),
+  return { .untilAsked_ =
+             std::clamp<Duration>(expected, impl::kShortest, within(impl::kMostShareUntilAsked)),
            .untilSilent_ = within(impl::kShareUntilSilent) };
 }
 
--- a/src/version/snapshot_checks.cpp
+++ b/src/version/snapshot_checks.cpp
@@ -58,8 +58,7 @@
 
   void CheckCompleteness()
   {
-    for (const auto required :
-         { part_name::kFailureDomains, part_name::kTeams }) {
+    for (const auto required : { part_name::kFailureDomains, part_name::kTeams }) {
       if (!manifest_.parts_.contains(std::string(required))) {
         AddFault(required, "", "the part is required", "none");
       }
--- a/src/version/version_store.cpp
+++ b/src/version/version_store.cpp
@@ -132,8 +132,8 @@
   PartDigests digests;
   for (const auto& [name, bytes] : aParts) {
     const auto known = aKnownBytes.find(name);
-    const bool same = known != aKnownBytes.end() &&
-                      (known->second == bytes || *known->second == *bytes);
+    const bool same =
+      known != aKnownBytes.end() && (known->second == bytes || *known->second == *bytes);
     digests.emplace(name, same ? aKnownDigests.at(name) : Digest::Of(*bytes));
   }
   return { .number_ = aNumber, .parts_ = std::move(digests) };
--- /dev/null
+++ b/tests/connection/backend_client_test.cpp
@@ -0,0 +1,75 @@
+#define BOOST_TEST_MODULE backend_client
+#include "../../platform/users_interface.hpp"
+#include "../../src/adapters/connection/backend_client.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+#include "../support/scripted_server.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+#include <optional>
+
+using namespace geraniumpin;
+using namespace geraniumpin::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// What the client makes of an answer with this status line and these fields.
+BackendResult
+ResultOf(const HeaderNames& aNames, const std::string& aStatus, const std::string& aFields)
+{
+  SystemClock clock;
+  EventLoop loop;
+  ScriptedServer server;
+  HttpClient http(loop, { milliseconds(4000), 1U << 20U });
+  std::optional<BackendResult> result;
+  BackendClient client(
+    http, server.Address(), aNames, [&](const BackendEnd& aEnd) { result = aEnd.result_; });
+  client.Start({ .id_ = { { 1, 1 }, 1 },
+                 .requestId_ = "r1",
+                 .method_ = "GET",
+                 .host_ = "shop.example",
+                 .path_ = "/x",
+                 .body_ = MakeBody(""),
+                 .remaining_ = milliseconds(1000) });
+  bool answered = false;
+  for (int i = 0; i < 400 && !result; ++i) {
+    loop.RunOnce(clock.Now() + milliseconds(5));
+    server.Accept();
+    if (!answered && server.Read().find("\r\n\r\n") != std::string::npos) {
+      std::string answer = "HTTP/1.1 ";
+      answer.append(aStatus).append("\r\n").append(aNames.requestId_).append(": r1\r\n");
+      server.Write(answer.append(aFields).append("content-length: 0\r\n\r\n"));
+      answered = true;
+    }
+  }
+  BOOST_REQUIRE(result.has_value());
+  return *result;
+}
+
+} // namespace
+
+// A refusal lets a request that must not run twice be repeated, so nothing else may pass for one.
+BOOST_AUTO_TEST_CASE(only_the_promised_form_is_a_refusal_in_the_own_interface)
+{
+  const HeaderNames own;
+  const auto is = [&](const std::string& aStatus, const std::string& aFields, BackendResult aWant) {
+    BOOST_TEST((ResultOf(own, aStatus, aFields) == aWant), aStatus << " " << aFields);
+  };
+  is("503 Service Unavailable", "not-started: true\r\n", BackendResult::Shed);
+  is("503 Service Unavailable", "not-started: false\r\n", BackendResult::Answered);
+  is("503 Service Unavailable", "not-started: \r\n", BackendResult::Answered);
+  is("503 Service Unavailable", "", BackendResult::Answered);
+  is("200 OK", "not-started: true\r\n", BackendResult::Answered);
+  is("500 Internal Server Error", "not-started: true\r\n", BackendResult::Answered);
+  is("421 Misdirected Request", "", BackendResult::Answered);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_on_the_users_platform_is_told_by_its_field)
+{
+  const auto users = UsersInterface::Headers();
+  const auto field = users.notStarted_ + ": 1\r\n";
+  BOOST_TEST((ResultOf(users, "503 Service Unavailable", field) == BackendResult::Shed));
+  BOOST_TEST((ResultOf(users, "429 Too Many Requests", field) == BackendResult::Shed));
+  BOOST_TEST((ResultOf(users, "503 Service Unavailable", "") == BackendResult::Answered));
+  BOOST_TEST((ResultOf(users, "421 Misdirected Request", field) == BackendResult::OtherInstance));
+}
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -1,97 +1,16 @@
 #define BOOST_TEST_MODULE http_client
 #include "../../src/adapters/connection/http_client.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
+#include "../support/scripted_server.hpp"
 
-#include <arpa/inet.h>
 #include <boost/test/included/unit_test.hpp>
-#include <csignal>
-#include <fcntl.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace geraniumpin;
+using namespace geraniumpin::test;
 using std::chrono::milliseconds;
 
 namespace {
 
-/// A server under the test's control, on a loopback port of its own.
-class ScriptedServer
-{
-public:
-  ScriptedServer()
-    : listener_(socket(AF_INET, SOCK_STREAM, 0))
-  {
-    std::signal(SIGPIPE, SIG_IGN);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    BOOST_REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    BOOST_REQUIRE(listen(listener_, 8) == 0);
-    socklen_t length = sizeof address;
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-    address_ = *NodeAddress::Parse("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
-    fcntl(listener_, F_SETFL, O_NONBLOCK);
-  }
-  ~ScriptedServer()
-  {
-    close(listener_);
-    CloseConnection();
-  }
-  ScriptedServer(const ScriptedServer&) = delete;
-  ScriptedServer& operator=(const ScriptedServer&) = delete;
-
-  [[nodiscard]] const NodeAddress& Address() const { return address_; }
-  [[nodiscard]] int Accepted() const { return accepted_; }
-
-  /// Takes the next connection, if there is one.
-  void Accept()
-  {
-    const int fd = accept(listener_, nullptr, nullptr);
-    if (fd >= 0) {
-      CloseConnection();
-      connection_ = fd;
-      fcntl(fd, F_SETFL, O_NONBLOCK);
-      ++accepted_;
-    }
-  }
-
-  /// Reads what has come so far.
-  std::string Read()
-  {
-    std::string text(65536, '\0');
-    const auto got = connection_ < 0 ? 0 : recv(connection_, text.data(), text.size(), 0);
-    text.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
-    return text;
-  }
-
-  void Write(const std::string& aText)
-  {
-    BOOST_REQUIRE(send(connection_, aText.data(), aText.size(), 0) ==
-                  static_cast<ssize_t>(aText.size()));
-  }
-
-  void CloseConnection()
-  {
-    if (connection_ >= 0) {
-      close(connection_);
-      connection_ = -1;
-    }
-  }
-
-  void ResetConnection()
-  {
-    const linger now{ 1, 0 };
-    setsockopt(connection_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    CloseConnection();
-  }
-
-private:
-  int listener_;
-  int connection_ = -1;
-  int accepted_ = 0;
-  NodeAddress address_;
-};
-
 struct Fixture
 {
   /// Sends a request that the server must have read when this returns.
--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -141,3 +141,22 @@
   BOOST_REQUIRE(full.Offer(Work(2, "a"), kStart));
   BOOST_TEST(refusing.Load(kStart) > full.Load(kStart) + kLargeBodyRemotePenalty);
 }
+
+// Load pattern "instance that fails part of its work": its status check is good, and it fails fast.
+BOOST_AUTO_TEST_CASE(a_server_that_fails_half_of_its_work_looks_busier_than_a_half_full_one)
+{
+  Admission<int, SlotController> failing(8);
+  failing.Restart(SlotController{}, 8);
+  Admission<int, SlotController> halfFull(8);
+  halfFull.Restart(SlotController{}, 8);
+  for (int i = 1; i <= 4; ++i) {
+    BOOST_REQUIRE(halfFull.Offer(Work(i, "a"), kStart));
+  }
+  for (int i = 1; i <= 20; ++i) {
+    BOOST_REQUIRE(failing.Offer(Work(i, "a"), kStart));
+    const auto result = i % 2 == 0 ? WorkResult::Success : WorkResult::Failed;
+    (void)failing.OnEnd(result, kStart, kStart + milliseconds(5));
+    BOOST_TEST((i < 2 || failing.Load(kStart) > halfFull.Load(kStart)));
+  }
+  BOOST_TEST(failing.Limit() == 8.0); // fewer requests at once do not cure it
+}
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -335,3 +335,68 @@
   }
   BOOST_TEST(answered >= ids.size() - 1);
 }
+
+// Load pattern "instance that hangs": it takes requests and answers none, so their callers leave.
+BOOST_AUTO_TEST_CASE(work_that_is_cancelled_long_after_its_usual_time_counts_against_the_instance)
+{
+  FakeLinks links(7);
+  StartAll(links, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto node = NodeAt(1, 1);
+  for (int i = 0; i < 60; ++i) {
+    for (int together = 0; together < 3; ++together) {
+      links.Call(node, "small");
+    }
+    links.Run(milliseconds(50));
+  }
+  const auto limit = [&] { return links.At(node).Status().concurrencyLimit_; };
+  const auto warm = limit();
+  BOOST_REQUIRE(warm > 2);
+  links.serviceTime_ = std::chrono::seconds(10);
+  const auto leaveAfter = [&](milliseconds aTime) {
+    const auto id = links.Call(node, "small");
+    links.Run(aTime);
+    links.At(node).OnCallerGone(id);
+    links.Run(milliseconds(10));
+  };
+  leaveAfter(milliseconds(4)); // within the usual time
+  BOOST_TEST(limit() == warm);
+  leaveAfter(milliseconds(100));
+  BOOST_TEST(limit() < warm);
+}
+
+// Load pattern "held up link": the caller has left by the time its request comes through.
+BOOST_AUTO_TEST_CASE(a_request_that_was_held_up_beyond_its_deadline_does_not_run)
+{
+  FakeLinks links(8);
+  StartAll(links, kSmall);
+  const auto entry = NodeAt(1, 1);
+  const auto owner = NodeAt(2, 1);
+  for (int i = 0; i < 40; ++i) { // the usual way between the two becomes known
+    links.Call(entry, "small");
+    links.Run(milliseconds(50));
+  }
+  const auto request = [&](std::uint64_t aSequence, Duration aRemaining, milliseconds aLate) {
+    const auto& version = links.At(owner).Status();
+    return Envelope{ .sender_ = entry,
+                     .senderIncarnation_ = 1,
+                     .receiverIncarnation_ = 0,
+                     .announced_ = { version.revision_, version.version_.digest_ },
+                     .sentAt_ = links.clock_.Now().time_since_epoch() - aLate,
+                     .payload_ = CallRequest{ .id_ = { 77, aSequence },
+                                              .attempt_ = 1,
+                                              .route_ = "order",
+                                              .service_ = "orders",
+                                              .team_ = "small",
+                                              .keyDigest_ = Digest::Of("key-small"),
+                                              .method_ = "POST",
+                                              .path_ = "/orders/1",
+                                              .body_ = MakeBody(""),
+                                              .remaining_ = aRemaining,
+                                              .patience_ = aRemaining } };
+  };
+  links.At(owner).OnEnvelope(request(1, milliseconds(400), milliseconds(600)));
+  links.At(owner).OnEnvelope(request(2, milliseconds(400), milliseconds(5)));
+  links.Run(milliseconds(300));
+  BOOST_TEST(links.RunsOf({ 77, 1 }) == 0U);
+  BOOST_TEST(links.RunsOf({ 77, 2 }) == 1U);
+}
--- a/tests/version/deflate_test.cpp
+++ b/tests/version/deflate_test.cpp
@@ -32,7 +32,8 @@
   for (int i = 0; i < 2000; ++i) {
     auto damaged = deflated.substr(0, random() % deflated.size());
     if (!damaged.empty() && i % 2 == 0) {
-      damaged[random() % damaged.size()] ^= static_cast<char>(1U << (random() % 8));
+      auto& byte = damaged[random() % damaged.size()];
+      byte = static_cast<char>(byte ^ (1 << (random() % 8)));
     }
     BOOST_TEST(!Inflate(damaged, kMost));
   }
@@ -42,6 +43,7 @@
 BOOST_AUTO_TEST_CASE(encoded_routes_are_small_and_equal_for_equal_parts)
 {
   std::vector<Route> routes;
+  routes.reserve(50);
   for (int i = 0; i < 50; ++i) {
     routes.push_back({ .name_ = "r-" + std::to_string(i * 7919),
                        .host_ = "shop.example",
