Six watchers again: with three a node learned too late of a leaving instance

With three watchers more nodes depend on the tree, and its repairs take up to seconds. Change: kWatchers is 6 as before; ReaderPlace stays. The test states six.

--- a/include/geraniumpin/process/watch_duty.hpp
+++ b/include/geraniumpin/process/watch_duty.hpp
@@ -12,10 +12,11 @@
 /// is cheaper there than passing versions on.
 inline constexpr std::size_t kAllWatch = 6;
 
-/// \brief Nodes that hold a watch in larger failure domains: two may fail together.
+/// \brief Nodes that hold a watch in larger failure domains.
 ///
-/// Each change brings every watcher the whole document of the operators, which passing on does not.
-inline constexpr std::size_t kWatchers = 3;
+/// Each change brings every watcher the whole document of the operators; with three watchers a node
+/// of bobinaj-hub-grown learned of a leaving instance 33 ms after the bound (docs/PLATFORM.md).
+inline constexpr std::size_t kWatchers = 6;
 
 /// \brief The place of a node among the working members of its failure domain as readers.
 struct ReaderPlace
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -129,7 +129,7 @@
 }
 
 // Load pattern "storm of versions": each watcher gets the whole document for every change.
-BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_failure_domain_watch_and_three_of_a_large_one)
+BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_failure_domain_watch_and_six_of_a_large_one)
 {
   const auto watchers = [](std::size_t aMembers) {
     std::size_t count = 0;
@@ -140,8 +140,8 @@
   };
   BOOST_TEST(watchers(1) == 1U);
   BOOST_TEST(watchers(6) == 6U);
-  BOOST_TEST(watchers(7) == 3U);
-  BOOST_TEST(watchers(1200) == 3U);
+  BOOST_TEST(watchers(7) == 6U);
+  BOOST_TEST(watchers(1200) == 6U);
 }
 
 BOOST_AUTO_TEST_CASE(freshness_only_gets_younger_through_reports)
