--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -142,7 +142,7 @@
   BOOST_TEST(refusing.Load(kStart) > full.Load(kStart) + kLargeBodyRemotePenalty);
 }
 
-// Load pattern "instance that fails part of its work": its status check is good, and it fails fast.
+// Load pattern "instance that fails part of its work": its health check is good, and it fails fast.
 BOOST_AUTO_TEST_CASE(a_server_that_fails_half_of_its_work_looks_busier_than_a_half_full_one)
 {
   Admission<int, SlotController> failing(8);
