Fake clients on kept connections, hanging backend servers, a log of runs

Cause: the fake caller cannot tell how a connection ended, does not give up, and ends with its count; the record of a fake backend server is lost with its process. The backend server can hang and prints the start and the end of each run. The runner can send SIGHUP; mesh.lua takes the timeout of the routes and the drain timeout, with the former values as defaults.

--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -26,7 +26,7 @@
 -- relays (routes traffic through the fake network), services (assigned to the VMs round robin),
 -- rate and burst (of each team), platform (further arguments of the fake platform), backend (further
 -- arguments of the fake backend servers), platform_address_of (function from a VM to the address at
--- which its node reaches the platform)
+-- which its node reaches the platform), timeout_ms (of the keyed routes), drain_timeout_ms
 function new_mesh(options)
   local mesh = setmetatable({ options = options, vms = {}, version = 0, document = nil }, Mesh)
   mesh.base = options.base * 10
@@ -62,9 +62,9 @@
     version = 0, failure_domains = {}, services = {}, teams = {}, keys = {},
     routes = {
       { name = "lookup", path_prefix = "/arquivo/", methods = { "GET" }, service = "arquivo",
-        access = "keyed", idempotent = true, timeout_ms = 2000 },
+        access = "keyed", idempotent = true, timeout_ms = self.options.timeout_ms or 2000 },
       { name = "report", path_prefix = "/laudos/", methods = { "POST" }, service = "laudos",
-        access = "keyed", idempotent = false, timeout_ms = 2000 },
+        access = "keyed", idempotent = false, timeout_ms = self.options.timeout_ms or 2000 },
       { name = "public", path_prefix = "/public/", methods = { "GET" }, service = "arquivo",
         access = "open", idempotent = true, timeout_ms = 2000 },
     },
@@ -143,7 +143,7 @@
     platform = self.options.platform_address_of and self.options.platform_address_of(vm) or
                self.platform,
     seeds = #seeds > 0 and seeds or nil, peer_key = "a secret of all nodes",
-    max_body_bytes = 1048576, drain_timeout_ms = 10000,
+    max_body_bytes = 1048576, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
   }
 end
 
@@ -288,6 +288,61 @@
   return answered, total, not_run
 end
 
+-- Starts clients on kept connections to the nodes of the VMs; their log has one line for each request.
+function Mesh:start_clients(name, vms, team, arguments)
+  local command = { "standin-clients", "--key", self.keys[team] or team }
+  for _, vm in ipairs(vms) do
+    table.insert(command, "--target")
+    table.insert(command, vm.caller)
+  end
+  for _, argument in ipairs(arguments) do
+    table.insert(command, tostring(argument))
+  end
+  spawn(name, command)
+end
+
+-- Returns the ends of requests in the log of clients, each a table with the fields that they print.
+function read_ends(name)
+  local ends = {}
+  for line in read_file(LOGS .. "/" .. name .. ".log"):gmatch("({[^\n]*\"tag\"[^\n]*})\n") do
+    ends[#ends + 1] = decode(line)
+  end
+  return ends
+end
+
+-- Stops clients once their pending requests have ended, and returns the ends of their requests.
+function stop_clients(name, deadline_ms)
+  signal(name, "TERM")
+  check(wait_exit(name, deadline_ms) == 0, "the clients " .. name .. " did not end")
+  return read_ends(name)
+end
+
+-- Returns the runs in the log of a backend server that was started with --log-runs, in order: tables
+-- with tag, start_ms, end_ms (nil while it runs, or if the process was killed) and end_kind.
+function Mesh:read_runs(vm)
+  local runs, open = {}, {}
+  local log = read_file(LOGS .. "/backend-" .. vm.name .. ".log")
+  for what, tag, ms in log:gmatch("(%a+) (%S+) (%d+)\n") do
+    if what == "run" then
+      open[tag] = { tag = tag, vm = vm, start_ms = tonumber(ms) }
+      runs[#runs + 1] = open[tag]
+    elseif open[tag] then
+      open[tag].end_kind, open[tag].end_ms = what, tonumber(ms)
+    end
+  end
+  return runs
+end
+
+-- Counts requests by the way they ended.
+function count_kinds(ends)
+  local kinds = {}
+  for _, request in ipairs(ends) do
+    local kind = request.kind .. ((request.reason or "") ~= "" and ":" .. request.reason or "")
+    kinds[kind] = (kinds[kind] or 0) + 1
+  end
+  return kinds
+end
+
 -- Starts or ends a partition between two groups of addresses, in both directions.
 function Mesh:set_partition(active, first, second)
   for _, pair in ipairs{ { first, second }, { second, first } } do
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -233,7 +233,8 @@
 LuaSignal(lua_State* aLua)
 {
   static const std::map<std::string, int> kSignals{
-    { "KILL", SIGKILL }, { "TERM", SIGTERM }, { "STOP", SIGSTOP }, { "CONT", SIGCONT }
+    { "KILL", SIGKILL }, { "TERM", SIGTERM }, { "HUP", SIGHUP },
+    { "STOP", SIGSTOP }, { "CONT", SIGCONT },
   };
   GetContext(aLua).Signal(CheckString(aLua, 1), kSignals.at(CheckString(aLua, 2)));
   return 0;
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -3,7 +3,8 @@
 /// A request takes the service time, multiplied when more requests run than the capacity. It is
 /// refused before it starts if too many more run, if the server drains, if all connections are in
 /// use, or if its deadline has passed. The server records each run; tests read the record and
-/// change the server's behaviour under /control. GET /health returns the text that a test has set,
+/// change the server's behaviour under /control. With --log-runs it also prints each run at once,
+/// so that the record outlives the process. GET /health returns the text that a test has set,
 /// whether or not it is true.
 
 #include "../../src/adapters/connection/http_server.hpp"
@@ -12,6 +13,7 @@
 #include "../../src/adapters/process/system_clock.hpp"
 
 #include <CLI/CLI.hpp>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -32,6 +34,7 @@
   std::size_t connections_ = 120;
   std::uint32_t serviceUs_ = 2000;
   std::uint32_t coldMs_ = 0;
+  bool logsRuns_ = false;
 };
 
 class FakeBackendServer
@@ -100,7 +103,7 @@
     running_.emplace(aId, aRequest);
     if (time.count() == 0) {
       Finish(aId);
-    } else {
+    } else if (!hanging_) {
       completions_.emplace(clock_.Now() + time, aId);
     }
   }
@@ -112,6 +115,18 @@
            aRunning > kShedRatio * Capacity();
   }
 
+  /// Prints the start or the end of a run.
+  void LogRun(const std::string& aWhat, const HttpRequest& aRequest) const
+  {
+    const auto tag = FindHeader(aRequest.headers_, "x-tag");
+    if (!tag.empty() && options_.logsRuns_) {
+      const auto now =
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now().time_since_epoch());
+      std::cout << aWhat + " " + std::string(tag) + " " + std::to_string(now.count()) + "\n"
+                << std::flush;
+    }
+  }
+
   void RecordRequest(const HttpRequest& aRequest)
   {
     ++runs_;
@@ -119,6 +134,7 @@
     if (!tag.empty()) {
       ++runsByTag_[std::string(tag)];
     }
+    LogRun("run", aRequest);
     for (const auto& field : aRequest.headers_) {
       headersSeen_.insert(field.name_);
     }
@@ -131,6 +147,7 @@
       return;
     }
     const auto& request = node.mapped();
+    LogRun("finished", request);
     const auto body =
       request.body_->empty() ? request.method_ + " " + request.path_ : *request.body_;
     server_.Respond(aId,
@@ -141,7 +158,8 @@
 
   void OnDisconnect(ExchangeId aId)
   {
-    if (running_.erase(aId) > 0) {
+    if (const auto node = running_.extract(aId); !node.empty()) {
+      LogRun("cancelled", node.mapped());
       ++cancelled_;
       std::erase_if(completions_,
                     [&](const auto& aCompletion) { return aCompletion.second == aId; });
@@ -157,6 +175,8 @@
       slowdown_ = std::stod(QueryParameter(aRequest.path_, "factor"));
     } else if (aPath == "/control/drain") {
       draining_ = QueryParameter(aRequest.path_, "on") == "true";
+    } else if (aPath == "/control/hang") {
+      hanging_ = QueryParameter(aRequest.path_, "on") == "true";
     } else if (aPath == "/control/health") {
       health_ = QueryParameter(aRequest.path_, "says");
     }
@@ -173,6 +193,7 @@
   TimePoint coldUntil_;
   double slowdown_ = 1;
   bool draining_ = false;
+  bool hanging_ = false; ///< new requests run until their client disconnects
   std::string health_ = "healthy";
   std::map<ExchangeId, HttpRequest> running_;
   std::set<std::pair<TimePoint, ExchangeId>> completions_;
@@ -199,6 +220,7 @@
   app.add_option("--connections", options.connections_);
   app.add_option("--service-us", options.serviceUs_, "service time of a request");
   app.add_option("--cold-ms", options.coldMs_, "time of reduced capacity after the start");
+  app.add_flag("--log-runs", options.logsRuns_, "print the start and the end of each run");
   CLI11_PARSE(app, aCount, aArguments);
 
   StartLogging(aArguments[0]);
