A planned stop answers what is pending at its end

Callers saw: a request that was pending when the drain timeout ended got no answer; the exit closed its connection. Entry nodes of other owners learned of the end of a stopping owner by a timeout only. The fault is of a class: whatever ends a process or a phase has to answer the requests that it ends. Change: EndPending is the last step of a stop. As owner: queued attempts did not run, running ones are cancelled with an unknown outcome, and each gets a reply, so that idempotent requests run elsewhere. As entry node: every request that is left gets an answer, which is flushed for 250 ms at most. node_stop says what was left.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -81,6 +81,26 @@
   /// \brief Refuses new requests from now on; accepted ones are finished.
   void StopAccepting() noexcept { acceptingStopped_ = true; }
 
+  /// \brief Stops retries, so that the end of an attempt ends its request.
+  void StopRetrying() noexcept { retriesStopped_ = true; }
+
+  /// \brief Answers all requests that are left, as the last step of a planned stop.
+  ///
+  /// Those that were not sent to an owner are refused as not run; the outcome of the others is
+  /// unknown.
+  void EndPending()
+  {
+    while (!calls_.empty()) {
+      auto& call = calls_.begin()->second;
+      const bool sent = call.stage_ == EntryStage::AtOwner;
+      if (sent) {
+        context_.Send(call.owner_, CallCancel{ call.call_.id_, call.attempts_ });
+      }
+      Finish(call,
+             Answer::WithoutContent(sent ? Outcome::Unknown : Outcome::NotRun, Reason::Draining));
+    }
+  }
+
   /// \brief Cancels a request whose caller closed its connection.
   void OnCallerGone(const CallId& aId)
   {
@@ -387,7 +407,7 @@
                               .instances_ = static_cast<std::uint32_t>(aCall.instances_.size()),
                               .maxInstances_ = aCall.decision_.route_.attempts_ };
     auto& budget = retryBudgets_[aCall.service_];
-    if (!MayRetry(inputs, budget)) {
+    if (retriesStopped_ || !MayRetry(inputs, budget)) {
       Finish(aCall, aAnswer);
       return;
     }
@@ -562,6 +582,7 @@
   TeamLimits<PortSet>& limits_;
   const CallTokens& tokens_;
   bool acceptingStopped_ = false;
+  bool retriesStopped_ = false;
   InstanceLoadTable loadTable_;
   DestinationChoice destinations_;
   std::map<std::string, RetryBudget> retryBudgets_; ///< by service
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -125,6 +125,17 @@
                      .With("owned_attempts", owner_.InFlight()));
   }
 
+  /// \brief Ends a planned stop: answers all requests that are left, as entry node and as owner.
+  void EndPending()
+  {
+    entry_.StopRetrying();
+    owner_
+      .EndPending(); // first, since a local entry request learns whether its attempt was started
+    DeliverLocalMessages();
+    entry_.EndPending();
+    DeliverLocalMessages();
+  }
+
   /// \brief Returns true if no request is in flight, so that a planned stop can end.
   [[nodiscard]] bool IsIdle() const noexcept
   {
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -136,6 +136,22 @@
     ExecuteActions(actions);
   }
 
+  /// \brief Replies to all attempts that are left, as the last step of a planned stop.
+  ///
+  /// Queued ones did not run; running ones are cancelled, and their outcome is unknown.
+  void EndPending()
+  {
+    while (!attempts_.empty()) {
+      const auto id = attempts_.begin()->first;
+      const bool queued = admission_.RemoveQueued(id);
+      if (!queued) {
+        context_.Ports().backend_.Cancel(id);
+      }
+      EndAttempt(
+        id, Answer::WithoutContent(queued ? Outcome::NotRun : Outcome::Unknown, Reason::Draining));
+    }
+  }
+
   void OnTimer()
   {
     const auto now = context_.Now();
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -133,18 +133,29 @@
 
   int Drain()
   {
-    const auto end = clock_.Now() + settings_.DrainTimeout();
+    const auto beganAt = clock_.Now();
+    const auto end = beganAt + settings_.DrainTimeout();
     node_.BeginDrain();
     callers_.DisableKeepAlive();
     // In this time, readiness checks find the node not ready; requests are still served.
-    StepUntil(std::min(end, clock_.Now() + kDrainAcceptTime), [] { return false; });
+    StepUntil(std::min(end, beganAt + kDrainAcceptTime), [] { return false; });
     callers_.StopAccepting();
     node_.StopAccepting(); // open connections may still send requests
     StepUntil(clock_.Now() + kAcceptedRequestTime, [] { return false; });
     StepUntil(end, [this] { return node_.IsIdle() && callers_.IsIdle(); });
-    StepUntil(clock_.Now() + kFlushTime, [] { return false; });
+    const auto left = node_.Status();
     const bool idle = node_.IsIdle() && callers_.IsIdle();
-    log_.Write(LogEvent("node_stop").With("idle", idle));
+    node_.EndPending();
+    StepUntil(clock_.Now() + kMaxFlushTime, [this] { return callers_.IsIdle(); });
+    log_.Write(
+      LogEvent("node_stop")
+        .With("idle", idle)
+        .With("entry_calls", left.entryCalls_)
+        .With("owned_attempts", left.ownedAttempts_)
+        .With("unsent_responses", !callers_.IsIdle())
+        .With(
+          "ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - beganAt).count()));
     log_.Flush();
     return idle ? 0 : kExitNotDrained;
   }
@@ -188,10 +199,10 @@
   /// Time for which a draining node still accepts connections: longer than two periods of
   /// readiness checks.
   static constexpr std::chrono::milliseconds kDrainAcceptTime{ 2500 };
-  /// Time to send the last responses.
-  static constexpr std::chrono::milliseconds kFlushTime{ 50 };
   /// Time for the connections accepted last to send their request and get its response.
   static constexpr std::chrono::milliseconds kAcceptedRequestTime{ 200 };
+  /// Longest time to send the last responses.
+  static constexpr std::chrono::milliseconds kMaxFlushTime{ 250 };
   /// Idle time of connections to a backend server that states no shorter one.
   static constexpr std::chrono::milliseconds kBackendIdleTimeout{ 4000 };
   static constexpr std::chrono::milliseconds kPlatformIdleTimeout{ 10000 };
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -235,6 +235,61 @@
   BOOST_TEST(mesh.CountRuns(late) == 0U);
 }
 
+// A process that stopped with requests pending closed their connections without an answer.
+BOOST_AUTO_TEST_CASE(a_planned_stop_answers_the_requests_that_outlive_it)
+{
+  FakeMesh mesh(15);
+  StartAll(mesh, kSmall);
+  const auto node = NodeAt(1, 1);
+  mesh.serviceTime_ = std::chrono::seconds(10);
+  std::vector<CallId> ids;
+  for (int i = 0; i < 40; ++i) {
+    ids.push_back(mesh.Call(node, i % 2 == 0 ? "small" : "large", i % 4 < 2 ? "GET" : "POST"));
+  }
+  mesh.Run(milliseconds(50));
+  mesh.At(node).BeginDrain();
+  mesh.Run(milliseconds(50));
+  BOOST_TEST(!mesh.At(node).IsIdle());
+  mesh.At(node).EndPending();
+  BOOST_TEST(mesh.At(node).IsIdle());
+  std::size_t unknown = 0;
+  for (const auto& id : ids) {
+    BOOST_REQUIRE(mesh.answers_.contains(id));
+    const auto outcome = mesh.answers_.at(id).outcome_;
+    unknown += outcome == Outcome::Unknown ? 1 : 0;
+  }
+  BOOST_TEST(unknown > 0U);
+  mesh.Kill(node);
+  mesh.Run(std::chrono::seconds(12));
+  for (const auto& id : ids) {
+    const bool notRun = mesh.answers_.at(id).outcome_ == Outcome::NotRun;
+    BOOST_TEST((!notRun || mesh.CountRuns(id) == 0));
+  }
+}
+
+// The entry node learned of the end of its owner by a timeout only.
+BOOST_AUTO_TEST_CASE(a_stopping_owner_replies_so_that_idempotent_requests_run_elsewhere)
+{
+  FakeMesh mesh(16);
+  StartAll(mesh, kSmall);
+  mesh.serviceTime_ = milliseconds(300);
+  const auto owner = NodeAt(1, 2);
+  while (mesh.At(owner).Status().ownedAttempts_ == 0) {
+    mesh.Run(milliseconds(400));
+    mesh.Call(NodeAt(1, 1), "", "GET", "/public/x");
+    mesh.Run(milliseconds(20));
+  }
+  const auto id = mesh.runs_.rbegin()->first;
+  mesh.serviceTime_ = milliseconds(5);
+  mesh.At(owner).BeginDrain();
+  mesh.At(owner).EndPending();
+  mesh.Kill(owner);
+  mesh.Run(milliseconds(100));
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Answered));
+  BOOST_TEST(mesh.CountRuns(id) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_token_works_on_its_node_while_its_request_runs)
 {
   FakeMesh mesh(6);
