A stop accepts requests for half of its timeout at most

Cause: requests were accepted for 2.5 s whatever the timeout of the stop. Change: StopSchedule, a value computed from the begin and the timeout, holds the times of the phases.

--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -10,6 +10,7 @@
 #include "admin_gateway.hpp"
 #include "event_loop.hpp"
 #include "geraniumpin/process/node.hpp"
+#include "geraniumpin/process/stop_schedule.hpp"
 #include "line_log.hpp"
 #include "secure_random.hpp"
 #include "settings_watch.hpp"
@@ -134,15 +135,15 @@
   int Drain()
   {
     const auto beganAt = clock_.Now();
-    const auto end = beganAt + settings_.DrainTimeout();
+    const auto schedule = StopSchedule::Make(beganAt, settings_.DrainTimeout());
     node_.BeginDrain();
     callers_.DisableKeepAlive();
     // In this time, readiness checks find the node not ready; requests are still served.
-    StepUntil(std::min(end, beganAt + kDrainAcceptTime), [] { return false; });
+    StepUntil(schedule.acceptUntil_, [] { return false; });
     callers_.StopAccepting();
     node_.StopAccepting(); // open connections may still send requests
-    StepUntil(clock_.Now() + kAcceptedRequestTime, [] { return false; });
-    StepUntil(end, [this] { return node_.IsIdle() && callers_.IsIdle(); });
+    StepUntil(schedule.openUntil_, [] { return false; });
+    StepUntil(schedule.endAt_, [this] { return node_.IsIdle() && callers_.IsIdle(); });
     const auto left = node_.Status();
     const bool idle = node_.IsIdle() && callers_.IsIdle();
     node_.EndPending();
@@ -196,11 +197,6 @@
     }
   }
 
-  /// Time for which a draining node still accepts connections: longer than two periods of
-  /// readiness checks.
-  static constexpr std::chrono::milliseconds kDrainAcceptTime{ 2500 };
-  /// Time for the connections accepted last to send their request and get its response.
-  static constexpr std::chrono::milliseconds kAcceptedRequestTime{ 200 };
   /// Longest time to send the last responses.
   static constexpr std::chrono::milliseconds kMaxFlushTime{ 250 };
   /// Idle time of connections to a backend server that states no shorter one.
