The deadline of a request counts from its earliest arrival

Cause: the time limit of a request counted from when it was read. Change: EventLoop knows when the wait of each turn ended. Data that is read after a turn without sleep can have arrived since the wait before ended; CallerGateway takes that time as the arrival. A request that waited has less time left, and what cannot be served in it is refused by its owner. A loop that has slept woke up for the data, so an idle node loses nothing.

--- a/src/adapters/process/event_loop.cpp
+++ b/src/adapters/process/event_loop.cpp
@@ -14,23 +14,39 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMaxSleep{ 60000 };
+constexpr std::chrono::milliseconds kClockResolution{ 1 }; // of h2o_now
+
+std::chrono::milliseconds
+ReadTimeOfDay()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
 
 } // namespace
 } // namespace impl
 
 EventLoop::EventLoop()
   : loop_(h2o_evloop_create())
+  , beganAt_(SystemClock{}.Now())
+  , beganTimeOfDay_(impl::ReadTimeOfDay())
+  , previousWokeUpAt_(beganAt_)
 {
 }
 
 void
 EventLoop::RunOnce(TimePoint aUntil)
 {
-  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(aUntil - SystemClock{}.Now());
+  previousWokeUpAt_ = wokeUpAt_.value_or(beganAt_);
+  wokeUpAt_.reset();
+  beganAt_ = SystemClock{}.Now();
+  beganTimeOfDay_ = impl::ReadTimeOfDay();
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(aUntil - beganAt_);
   const auto bounded = std::clamp(wait, std::chrono::milliseconds(0), impl::kMaxSleep);
   const bool sleeps = !std::exchange(skipSleep_, false);
   isRunning_ = true;
   h2o_evloop_run(loop_, sleeps ? static_cast<std::int32_t>(bounded.count()) : 0);
+  OnEvent();
   isRunning_ = false;
 }
 
@@ -40,8 +56,26 @@
   skipSleep_ = skipSleep_ || !isRunning_;
 }
 
+/// In a callback, h2o_now is the time of day at which the wait of the turn ended.
+void
+EventLoop::OnEvent()
+{
+  if (!wokeUpAt_) {
+    const Duration slept = std::chrono::milliseconds(h2o_now(loop_)) - beganTimeOfDay_;
+    wokeUpAt_ = beganAt_ + std::clamp(slept, Duration{}, SystemClock{}.Now() - beganAt_);
+  }
+}
+
+TimePoint
+EventLoop::EarliestArrival()
+{
+  OnEvent();
+  return *wokeUpAt_ - beganAt_ > impl::kClockResolution ? *wokeUpAt_ : previousWokeUpAt_;
+}
+
 FdWatch::FdWatch(EventLoop& aLoop, int aFd, std::function<void()> aOnReadable)
-  : onReadable_(std::move(aOnReadable))
+  : loop_(aLoop)
+  , onReadable_(std::move(aOnReadable))
 {
   // h2o closes the descriptor of its socket, so it gets a duplicate.
   const int duplicate = fcntl(aFd, F_DUPFD_CLOEXEC, 0);
@@ -59,7 +93,9 @@
 void
 FdWatch::OnReadable(st_h2o_socket_t* aSocket, const char* /*aError*/)
 {
-  static_cast<FdWatch*>(aSocket->data)->onReadable_();
+  auto* watch = static_cast<FdWatch*>(aSocket->data);
+  watch->loop_.OnEvent();
+  watch->onReadable_();
 }
 
 } // namespace geraniumpin
--- a/src/adapters/process/event_loop.hpp
+++ b/src/adapters/process/event_loop.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 struct st_h2o_evloop_t;
 struct st_h2o_socket_t;
@@ -33,12 +34,25 @@
   /// after its wait. Has no effect inside RunOnce.
   void SkipSleep();
 
+  /// \brief Records when this turn woke up; called at the begin of each callback.
+  void OnEvent();
+
+  /// \brief Returns the earliest time at which data that is read in this turn can have arrived.
+  ///
+  /// For the load pattern "saturated node": data that arrives while a turn handles events stays
+  /// unread until the next one. If the loop has slept, it is the time at which it woke up.
+  [[nodiscard]] TimePoint EarliestArrival();
+
   [[nodiscard]] st_h2o_evloop_t* Native() const noexcept { return loop_; }
 
 private:
   st_h2o_evloop_t* loop_;
   bool isRunning_ = false;
   bool skipSleep_ = false;
+  TimePoint beganAt_;                          ///< of this turn
+  std::chrono::milliseconds beganTimeOfDay_{}; ///< the same since the epoch
+  std::optional<TimePoint> wokeUpAt_;          ///< in this turn; nothing before its first callback
+  TimePoint previousWokeUpAt_;                 ///< in the turn before
 };
 
 /// \brief Watches a file descriptor that another library owns.
@@ -54,6 +68,7 @@
 private:
   static void OnReadable(st_h2o_socket_t* aSocket, const char* aError);
 
+  EventLoop& loop_;
   std::function<void()> onReadable_;
   st_h2o_socket_t* socket_;
 };
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -79,7 +79,8 @@
                              HeaderNames aNames,
                              std::string aOwnService,
                              CallerEvents aEvents)
-  : names_(std::move(aNames))
+  : loop_(aLoop)
+  , names_(std::move(aNames))
   , ownService_(std::move(aOwnService))
   , maxBodyBytes_(aMaxBodyBytes)
   , origin_(aOrigin)
@@ -143,7 +144,7 @@
                     .key_ = FindCallerKey(headers, names_),
                     .callToken_ = field(names_.callToken_),
                     .idempotencyKey_ = field(names_.idempotencyKey_),
-                    .arrivedAt_ = clock_.Now(),
+                    .arrivedAt_ = loop_.EarliestArrival(),
                     .timeout_ = impl::ParseMilliseconds(field(names_.callerTimeout_)) });
 }
 
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -49,7 +49,7 @@
   void OnRequest(ExchangeId aId, const HttpRequest& aRequest);
   [[nodiscard]] HeaderFields SelectForwardedHeaders(const HeaderFields& aHeaders) const;
 
-  SystemClock clock_;
+  EventLoop& loop_;
   HeaderNames names_;
   std::string ownService_;
   std::map<ExchangeId, std::string> requestIds_; ///< of the pending calls
