Holders of an exhausted team take turns

Callers saw: while one team sent several times its rate, requests of all teams at some nodes were read up to 1.26 s late, and started after their callers had left (GONE). Change: each refused holder gets a turn of its own, one for each token that refills, 400 ms ahead at most.

--- a/src/process/token_lessor.cpp
+++ b/src/process/token_lessor.cpp
@@ -11,6 +11,9 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{ 2 };
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
 
+// A request waits 100 ms for a token at most, so a later turn serves those that arrive until then.
+constexpr std::chrono::milliseconds kMaxTurnWait{ 400 };
+
 constexpr std::size_t kMaxHolders = 4096;
 
 // Largest part of the level that one lease takes, so that one holder cannot drain the bucket while
@@ -130,6 +133,18 @@
   return tokens;
 }
 
+Duration
+TokenLessor::TakeTurn(Bucket& aBucket, TimePoint aNow)
+{
+  const auto rate = aBucket.share_.ratePerSecond_;
+  const auto firstTurn = impl::ComputeRetryAfter(aBucket.level_, rate);
+  const auto interval = impl::ComputeRetryAfter(0, rate);
+  const auto turn = std::max(firstTurn, aBucket.lastTurnAt_ + interval - aNow);
+  const auto wait = std::min(turn, std::max<Duration>(firstTurn, impl::kMaxTurnWait));
+  aBucket.lastTurnAt_ = aNow + wait;
+  return wait;
+}
+
 LeaseGrant
 TokenLessor::OnRequest(const NodeAddress& aHolder,
                        std::uint64_t aIncarnation,
@@ -164,7 +179,7 @@
   const bool late = aRequest.sequence_ <= last;
   last = std::max(last, aRequest.sequence_);
   const auto tokens = late ? 0 : Grant(bucket, key, aRequest.requestedTokens_, aNow);
-  return grant(tokens, impl::ComputeRetryAfter(bucket.level_, bucket.share_.ratePerSecond_));
+  return grant(tokens, tokens > 0 ? Duration{} : TakeTurn(bucket, aNow));
 }
 
 } // namespace geraniumpin
--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -136,6 +136,41 @@
   BOOST_TEST(returned == 4U);
 }
 
+// Load pattern "hot team": sixty entry nodes whose requests exceed the rate of a team all came back
+// when the next token was due, a thousand messages a second at one lessor, which read nothing else.
+BOOST_AUTO_TEST_CASE(holders_of_a_hot_team_take_turns_at_an_exhausted_lessor)
+{
+  constexpr int kHolders = 60;
+  constexpr double kRate = 15;
+  TokenLessor lessor;
+  TimePoint now{ std::chrono::hours(1) };
+  BOOST_REQUIRE(lessor.SetShare("hot", { kRate, 5 }, now));
+  lessor.CompleteTakeover(now);
+  std::multimap<TimePoint, int> dueHolders;
+  for (int holder = 1; holder <= kHolders; ++holder) {
+    dueHolders.emplace(now, holder);
+  }
+  const auto end = now + std::chrono::seconds(10);
+  std::uint64_t requests = 0;
+  std::uint32_t tokens = 0;
+  std::map<int, std::vector<LeaseClosure>> consumedLeases; // by holder
+  while (dueHolders.begin()->first < end) {
+    const auto due = dueHolders.extract(dueHolders.begin());
+    now = due.key();
+    const LeaseRequest request{
+      "hot", ++requests, 1, std::exchange(consumedLeases[due.mapped()], {})
+    };
+    const auto grant = lessor.OnRequest(NodeAt(1, due.mapped()), 1, request, now);
+    tokens += grant.tokens_;
+    if (grant.tokens_ > 0) {
+      consumedLeases[due.mapped()].push_back({ .sequence_ = grant.sequence_, .unused_ = 0 });
+    }
+    dueHolders.emplace(now + std::max<Duration>(grant.retryAfter_, milliseconds(1)), due.mapped());
+  }
+  BOOST_TEST(tokens >= 0.9 * kRate * 10);
+  BOOST_TEST(requests < 10U * 200U);
+}
+
 BOOST_AUTO_TEST_CASE(a_repeated_request_gets_the_same_lease_and_a_late_one_gets_none)
 {
   TokenLessor lessor;
