Log: long turns of the event loop, requests read after their caller left, and what a stop leaves

The incident's hypotheses could not be told apart from the logs: nothing said how long the loop was away, whether a caller had already closed its connection when its request was read, which version an owner decided with, how long a message was under way, why an owner refused an attempt before its admission, or what kept a stop from being idle.

- loop_lag (at most one line a second, from 50 ms on) and turn_ms: the longest turn, from its first event, and what it did
- half_closed in route and call_end, calls_half_closed; waited_us and remaining_us in route
- version, delay_us and remaining_us in admission; attempt_refused; dequeued
- entry_calls, owned_attempts and unanswered in node_stop

Decisions are unchanged.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -56,6 +56,9 @@
   void OnCall(const Call& aCall, ConfigFreshness aFreshness)
   {
     context_.GetMetrics().Count("calls");
+    if (aCall.halfClosed_) {
+      context_.GetMetrics().Count("calls_half_closed");
+    }
     if (acceptingStopped_) {
       Refuse(aCall, Reason::Draining);
       return;
@@ -354,6 +357,9 @@
                      .With("version", decision.snapshot_->Id().number_)
                      .With("team", decision.team_)
                      .With("route", decision.route_.name_)
+                     .With("half_closed", aCall.call_.halfClosed_)
+                     .With("waited_us", Microseconds(context_.Now() - aCall.call_.arrivedAt_))
+                     .With("remaining_us", Microseconds(aCall.deadline_ - context_.Now()))
                      .With("candidates", preferred.size())
                      .With("of", candidates.size())
                      .With("chosen", chosen == nullptr ? "none" : chosen->name_)
@@ -512,9 +518,6 @@
       context_.GetMetrics().Count("reason_" + std::string(ToString(aAnswer.reason_)));
     }
     context_.GetMetrics().Record("call_ms", elapsed);
-    const auto microseconds = [](Duration aTime) {
-      return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
-    };
     LogEvent event("call_end",
                    aAnswer.outcome_ == Outcome::Answered ? Severity::Routine : Severity::Warning);
     event.With("call", ToString(aCall.id_))
@@ -522,20 +525,26 @@
       .With("outcome", ToString(aAnswer.outcome_))
       .With("reason", ToString(aAnswer.reason_))
       .With("status", aAnswer.status_)
-      .With("us", microseconds(elapsed));
+      .With("us", Microseconds(elapsed))
+      .With("half_closed", aCall.halfClosed_);
     if (aAccepted != nullptr) {
       const bool sent = aAccepted->attempts_ > 0;
       event.With("team", aAccepted->decision_.team_)
         .With("route", aAccepted->decision_.route_.name_)
         .With("owner", aAccepted->owner_.Text())
         .With("attempts", aAccepted->attempts_)
-        .With("token_us", sent ? microseconds(aAccepted->firstSentAt_ - aCall.arrivedAt_) : 0)
-        .With("queued_us", microseconds(aAccepted->queueTime_))
-        .With("ran_us", microseconds(aAccepted->instanceTime_));
+        .With("token_us", sent ? Microseconds(aAccepted->firstSentAt_ - aCall.arrivedAt_) : 0)
+        .With("queued_us", Microseconds(aAccepted->queueTime_))
+        .With("ran_us", Microseconds(aAccepted->instanceTime_));
     }
     context_.Write(event);
   }
 
+  [[nodiscard]] static std::int64_t Microseconds(Duration aTime) noexcept
+  {
+    return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
+  }
+
   void StopWaiting(const EntryCall& aCall)
   {
     const auto found = waiting_.find(aCall.decision_.team_);
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -8,8 +8,10 @@
 #include "geraniumpin/process/owner_service.hpp"
 #include "geraniumpin/process/platform_reader.hpp"
 #include "geraniumpin/process/team_limits.hpp"
+#include "geraniumpin/process/turn_monitor.hpp"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace geraniumpin {
@@ -44,6 +46,8 @@
   /// \brief Handles a request of a caller.
   void OnCall(const Call& aCall)
   {
+    OnTurnEvent();
+    ++turn_.calls_;
     entry_.OnCall(aCall, gossip_.EvaluateFreshness());
     DeliverLocalMessages();
   }
@@ -58,6 +62,8 @@
   /// \brief Handles a message of a peer.
   void OnEnvelope(const Envelope& aEnvelope)
   {
+    OnTurnEvent();
+    ++turn_.messages_;
     excessDelay_ = {};
     if (aEnvelope.sender_ != context_.Self()) {
       excessDelay_ = linkDelay_.OnMessage(
@@ -72,6 +78,8 @@
   /// \brief Handles the end of an attempt at the backend server.
   void OnBackendEnd(const BackendCompletion& aEnd)
   {
+    OnTurnEvent();
+    ++turn_.backendEnds_;
     owner_.OnBackendEnd(aEnd);
     DeliverLocalMessages();
   }
@@ -79,6 +87,8 @@
   /// \brief Handles the result of a read of the platform.
   void OnItemsRead(const ItemsRead& aRead)
   {
+    OnTurnEvent();
+    ++turn_.platformReads_;
     reader_.OnItemsRead(aRead);
     gossip_.OnPlatformRead();
     DeliverLocalMessages();
@@ -96,6 +106,20 @@
     DeliverLocalMessages();
   }
 
+  /// \brief Records the end of a turn of the event loop. Its duration counts from its first event.
+  void OnTurnEnd()
+  {
+    if (turnStartedAt_ == TimePoint{}) {
+      return;
+    }
+    auto turn = std::exchange(turn_, {});
+    turn.duration_ = context_.Now() - std::exchange(turnStartedAt_, {});
+    context_.GetMetrics().Record("turn_ms", turn.duration_);
+    if (const auto longest = turnMonitor_.OnTurn(turn, context_.Now())) {
+      WriteLoopLag(*longest);
+    }
+  }
+
   /// \brief The time at which OnTimer must be called at the latest.
   [[nodiscard]] TimePoint NextDeadline() const
   {
@@ -241,8 +265,31 @@
     limits_.OnTakeoverConfirmation(aEnvelope, aPayload);
   }
 
+  void OnTurnEvent()
+  {
+    if (turnStartedAt_ == TimePoint{}) {
+      turnStartedAt_ = context_.Now();
+    }
+  }
+
+  void WriteLoopLag(const LoopTurn& aTurn)
+  {
+    context_.Write(
+      LogEvent("loop_lag")
+        .With("turn_us",
+              std::chrono::duration_cast<std::chrono::microseconds>(aTurn.duration_).count())
+        .With("calls", aTurn.calls_)
+        .With("messages", aTurn.messages_)
+        .With("backend_ends", aTurn.backendEnds_)
+        .With("platform_reads", aTurn.platformReads_)
+        .With("versions", aTurn.versions_)
+        .With("entry_calls", entry_.InFlight())
+        .With("owned_attempts", owner_.InFlight()));
+  }
+
   void OnSnapshot(const Snapshot& aSnapshot)
   {
+    ++turn_.versions_;
     context_.GetMembership().OnConfiguredNodes(aSnapshot.AllNodes(), context_.Now());
     owner_.OnSnapshot(aSnapshot);
     limits_.OnSnapshot(aSnapshot);
@@ -276,6 +323,9 @@
   ConfigService<PortSet> config_;
   PlatformReader<PortSet> reader_;
   GossipService<PortSet> gossip_;
+  LoopTurn turn_;             ///< in progress
+  TimePoint turnStartedAt_{}; ///< first event of the turn in progress; zero before it
+  TurnMonitor turnMonitor_;
   LinkDelay linkDelay_;
   Duration excessDelay_{}; ///< of the message in progress, beyond the lowest delay of its link
 };
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -95,6 +95,7 @@
       return;
     }
     if (const auto refusal = Check(aEnvelope, aRequest, aDelay)) {
+      WriteRefusal(id, aRequest, *refusal, aDelay);
       Reply(aEnvelope.sender_, id, Answer::WithoutContent(Outcome::NotRun, *refusal));
       return;
     }
@@ -264,7 +265,7 @@
       deadline, aRequest.rank_, std::min(deadline, now + queueTimeout)
     };
     const auto admitted = admission_.Admit(work, now);
-    WriteAdmission(aId, aRequest, admitted);
+    WriteAdmission(aId, aRequest, admitted, aDelay);
     if (!admitted) {
       const auto retryAfter = admission_.RetryAfter(aRequest.rank_, now);
       Reply(aEntry, aId, Answer::WithoutContent(Outcome::NotRun, admitted.error(), retryAfter));
@@ -304,6 +305,7 @@
       EndAttempt(id, Answer::WithoutContent(Outcome::NotRun, Reason::DeadlinePassed));
     }
     for (const auto& id : aActions.start_) {
+      WriteDequeued(id);
       Start(id);
     }
   }
@@ -363,27 +365,61 @@
     }
   }
 
+  void WriteRefusal(const AttemptId& aId,
+                    const CallRequest& aRequest,
+                    Reason aReason,
+                    Duration aDelay)
+  {
+    context_.Write(LogEvent("attempt_refused", Severity::Warning)
+                     .With("call", ToString(aId.call_))
+                     .With("request", aRequest.requestId_)
+                     .With("attempt", aId.attempt_)
+                     .With("team", aRequest.team_)
+                     .With("reason", ToString(aReason))
+                     .With("version", context_.Versions().CurrentId().number_)
+                     .With("delay_us", Microseconds(aDelay))
+                     .With("remaining_us", Microseconds(aRequest.remaining_)));
+  }
+
   void WriteAdmission(const AttemptId& aId,
                       const CallRequest& aRequest,
-                      const tl::expected<AdmissionResult, Reason>& aAdmitted)
+                      const tl::expected<AdmissionResult, Reason>& aAdmitted,
+                      Duration aDelay)
   {
     const auto decision = !aAdmitted                             ? ToString(aAdmitted.error())
                           : *aAdmitted == AdmissionResult::Start ? "start"
                                                                  : "queued";
-    context_.Write(
-      LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
-        .With("call", ToString(aId.call_))
-        .With("request", aRequest.requestId_)
-        .With("attempt", aId.attempt_)
-        .With("team", aRequest.team_)
-        .With("decision", decision)
-        .With("in_flight", admission_.InFlight())
-        .With("queued", admission_.Queued())
-        .With("limit", admission_.Limit())
-        .With("cold", admission_.SlowStart().IsCold(context_.Now()))
-        .With(
-          "patience_us",
-          std::chrono::duration_cast<std::chrono::microseconds>(aRequest.queueTimeout_).count()));
+    context_.Write(LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
+                     .With("call", ToString(aId.call_))
+                     .With("request", aRequest.requestId_)
+                     .With("attempt", aId.attempt_)
+                     .With("team", aRequest.team_)
+                     .With("decision", decision)
+                     .With("version", context_.Versions().CurrentId().number_)
+                     .With("delay_us", Microseconds(aDelay))
+                     .With("remaining_us", Microseconds(aRequest.remaining_))
+                     .With("in_flight", admission_.InFlight())
+                     .With("queued", admission_.Queued())
+                     .With("limit", admission_.Limit())
+                     .With("cold", admission_.SlowStart().IsCold(context_.Now()))
+                     .With("patience_us", Microseconds(aRequest.queueTimeout_)));
+  }
+
+  void WriteDequeued(const AttemptId& aId)
+  {
+    const auto& attempt = attempts_.at(aId);
+    const auto now = context_.Now();
+    context_.Write(LogEvent("dequeued", Severity::Routine)
+                     .With("call", ToString(aId.call_))
+                     .With("request", attempt.request_.requestId_)
+                     .With("attempt", aId.attempt_)
+                     .With("queued_us", Microseconds(now - attempt.arrivedAt_))
+                     .With("remaining_us", Microseconds(attempt.deadline_ - now)));
+  }
+
+  [[nodiscard]] static std::int64_t Microseconds(Duration aTime) noexcept
+  {
+    return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
   }
 
   [[nodiscard]] Duration ExpectedServiceTime(const std::string& aRoute) const
--- /dev/null
+++ b/include/geraniumpin/process/turn_monitor.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace geraniumpin {
+
+/// \brief What the event loop did between two waits for events.
+struct LoopTurn
+{
+  Duration duration_{};
+  std::uint64_t calls_ = 0;       ///< requests of callers
+  std::uint64_t messages_ = 0;    ///< from peers
+  std::uint64_t backendEnds_ = 0; ///< attempts that ended at the backend server
+  std::uint64_t platformReads_ = 0;
+  std::uint64_t versions_ = 0; ///< versions applied
+
+  auto operator<=>(const LoopTurn&) const = default;
+};
+
+/// \brief Reports the longest turn of the event loop, once a period and only if it was slow.
+class TurnMonitor
+{
+public:
+  /// Duration from which on a turn is slow.
+  static constexpr std::chrono::milliseconds kSlowTurn{ 50 };
+  /// Time between two reports.
+  static constexpr std::chrono::seconds kPeriod{ 1 };
+
+  /// \brief Records a turn that ended now.
+  /// \returns The longest turn since the last report, if a report is due.
+  [[nodiscard]] std::optional<LoopTurn> OnTurn(const LoopTurn& aTurn, TimePoint aNow)
+  {
+    longest_ = std::max(longest_, aTurn);
+    if (longest_.duration_ < kSlowTurn || aNow < nextReport_) {
+      return std::nullopt;
+    }
+    nextReport_ = aNow + kPeriod;
+    return std::exchange(longest_, {});
+  }
+
+private:
+  LoopTurn longest_;
+  TimePoint nextReport_{};
+};
+
+} // namespace geraniumpin
--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -1,10 +1,12 @@
 #include "http_server.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <glog/logging.h>
 #include <h2o.h>
 #include <map>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace geraniumpin {
@@ -37,6 +39,14 @@
   return fields;
 }
 
+/// Returns true if the client has closed its side of a connection.
+bool
+IsHalfClosed(int aFd)
+{
+  pollfd state{ .fd = aFd, .events = POLLRDHUP, .revents = 0 };
+  return poll(&state, 1, 0) == 1;
+}
+
 int
 Listen(const NodeAddress& aAddress)
 {
@@ -151,11 +161,14 @@
       h2o_timeout_link(loop_.Native(), &watchDelay_, &exchange->watchDelay_.entry_);
     }
     const auto& entity = aRequest->entity;
+    auto* socket = aRequest->conn->callbacks->get_socket(aRequest->conn);
+    const int fd = socket == nullptr ? -1 : h2o_socket_get_fd(socket);
     const HttpRequest request{ .method_ = impl::ToText(aRequest->method),
                                .host_ = impl::ToText(aRequest->authority),
                                .path_ = impl::ToText(aRequest->path),
                                .headers_ = impl::MakeHeaderFields(*aRequest),
-                               .body_ = MakeBody({ entity.base, entity.len }) };
+                               .body_ = MakeBody({ entity.base, entity.len }),
+                               .halfClosed_ = fd >= 0 && impl::IsHalfClosed(fd) };
     handlers_.onRequest_(exchange->id_, request);
   }
 
@@ -297,4 +310,14 @@
   return impl_->exchanges_.empty();
 }
 
+std::size_t
+HttpServer::UnansweredRequests() const
+{
+  const auto& exchanges = impl_->exchanges_;
+  return static_cast<std::size_t>(
+    std::count_if(exchanges.begin(), exchanges.end(), [](const auto& aEntry) {
+      return !aEntry.second->responded_;
+    }));
+}
+
 } // namespace geraniumpin
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -53,6 +53,10 @@
   /// \brief Returns true if no request is pending.
   [[nodiscard]] bool IsIdle() const;
 
+  /// \brief Returns the number of requests that were read and not answered, including those whose
+  /// client has disconnected and whose connection is still open.
+  [[nodiscard]] std::size_t UnansweredRequests() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -144,7 +144,12 @@
     StepUntil(end, [this] { return node_.IsIdle() && callers_.IsIdle(); });
     StepUntil(clock_.Now() + kFlushTime, [] { return false; });
     const bool idle = node_.IsIdle() && callers_.IsIdle();
-    log_.Write(LogEvent("node_stop").With("idle", idle));
+    const auto status = node_.Status();
+    log_.Write(LogEvent("node_stop")
+                 .With("idle", idle)
+                 .With("entry_calls", status.entryCalls_)
+                 .With("owned_attempts", status.ownedAttempts_)
+                 .With("unanswered", callers_.UnansweredRequests()));
     log_.Flush();
     return idle ? 0 : kExitNotDrained;
   }
@@ -164,6 +169,7 @@
     if (signals_.TakeReloadRequest() || clock_.Now() >= settingsWatch_.NextDeadline()) {
       ReloadSettings();
     }
+    node_.OnTurnEnd();
     log_.Flush();
   }
 
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -42,6 +42,9 @@
   /// \brief Returns true if no request is pending.
   [[nodiscard]] bool IsIdle() const { return server_.IsIdle(); }
 
+  /// \brief Returns the number of requests that were read and not answered.
+  [[nodiscard]] std::size_t UnansweredRequests() const { return server_.UnansweredRequests(); }
+
   /// \brief Accepts the connections in the backlog, then stops listening.
   void StopAccepting() { server_.StopAccepting(); }
 
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -15,6 +15,7 @@
   const std::string path_; ///< with the query
   const HeaderFields headers_;
   const Body body_;
+  const bool halfClosed_ = false; ///< when it was read, the client had closed its side
 };
 
 /// \brief An HTTP response, received or to send.
