--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <glog/logging.h>
 #include <h2o.h>
@@ -297,4 +298,14 @@
   return impl_->exchanges_.empty();
 }
 
+std::size_t
+HttpServer::UnansweredRequests() const
+{
+  const auto& exchanges = impl_->exchanges_;
+  return static_cast<std::size_t>(
+    std::count_if(exchanges.begin(), exchanges.end(), [](const auto& aEntry) {
+      return !aEntry.second->responded_;
+    }));
+}
+
 } // namespace geraniumpin
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -153,7 +153,7 @@
         .With("idle", idle)
         .With("entry_calls", left.entryCalls_)
         .With("owned_attempts", left.ownedAttempts_)
-        .With("unsent_responses", !callers_.IsIdle())
+        .With("unanswered", callers_.UnansweredRequests())
         .With(
           "ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - beganAt).count()));
@@ -176,6 +176,7 @@
     if (signals_.TakeReloadRequest() || clock_.Now() >= settingsWatch_.NextDeadline()) {
       ReloadSettings();
     }
+    node_.OnTurnEnd();
     log_.Flush();
   }
 
