Counters of callers' connections

An HTTP server counts connections (accepted, open, closed before a whole request was read), requests and clients that left before their response; the admin address shows them under callers. Connections that ended in these ways left no trace. AdminSources::callerConnections_ may be empty; NodeProcess does not set it yet. New tests with a scripted client over loopback.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -82,6 +82,12 @@
     WatchDelay watchDelay_{};
     std::unique_ptr<FdWatch> disconnectWatch_;
   };
+  /// Deleted when its socket closes.
+  struct Connection
+  {
+    Impl* server_ = nullptr;
+    bool hasSentRequest_ = false;
+  };
   struct Handler
   {
     h2o_handler_t base_;
@@ -127,10 +133,25 @@
   bool AcceptOne()
   {
     auto* socket = h2o_evloop_socket_accept(listener_);
-    if (socket != nullptr) {
-      h2o_accept(&accept_, socket);
+    if (socket == nullptr) {
+      return false;
+    }
+    ++counters_.acceptedConnections_;
+    ++counters_.openConnections_;
+    socket->on_close.cb = OnConnectionClosed;
+    socket->on_close.data = new Connection{ this };
+    h2o_accept(&accept_, socket);
+    return true;
+  }
+
+  static void OnConnectionClosed(void* aConnection)
+  {
+    const std::unique_ptr<Connection> connection(static_cast<Connection*>(aConnection));
+    auto& counters = connection->server_->counters_;
+    --counters.openConnections_;
+    if (!connection->hasSentRequest_) {
+      ++counters.unusedConnections_;
     }
-    return socket != nullptr;
   }
 
   static int OnRequest(h2o_handler_t* aHandler, h2o_req_t* aRequest)
@@ -145,6 +166,10 @@
     auto* memory = h2o_mem_alloc_shared(&aRequest->pool, sizeof(Exchange), OnDispose);
     auto* exchange = new (memory) Exchange{ this, nextId_++, aRequest };
     exchanges_.emplace(exchange->id_, exchange);
+    ++counters_.requests_;
+    if (auto* socket = aRequest->conn->callbacks->get_socket(aRequest->conn)) {
+      static_cast<Connection*>(socket->on_close.data)->hasSentRequest_ = true;
+    }
     if (handlers_.onDisconnect_) {
       exchange->watchDelay_.exchange_ = exchange;
       exchange->watchDelay_.entry_.cb = OnWatchDelay;
@@ -182,6 +207,7 @@
     const auto id = aExchange->id_;
     aExchange->disconnectWatch_.reset();
     if (received == 0 && !aExchange->responded_) {
+      ++server->counters_.disconnects_;
       server->handlers_.onDisconnect_(id);
     }
   }
@@ -194,8 +220,11 @@
       h2o_timeout_unlink(&exchange->watchDelay_.entry_);
     }
     server->exchanges_.erase(exchange->id_);
-    if (!exchange->responded_ && server->handlers_.onDisconnect_) {
-      server->handlers_.onDisconnect_(exchange->id_);
+    if (!exchange->responded_) {
+      ++server->counters_.disconnects_;
+      if (server->handlers_.onDisconnect_) {
+        server->handlers_.onDisconnect_(exchange->id_);
+      }
     }
     exchange->~Exchange();
   }
@@ -240,6 +269,7 @@
 
   EventLoop& loop_;
   HttpHandlers handlers_;
+  HttpServerCounters counters_;
   h2o_globalconf_t config_{};
   h2o_context_t context_{};
   h2o_accept_ctx_t accept_{};
@@ -297,4 +327,10 @@
   return impl_->exchanges_.empty();
 }
 
+const HttpServerCounters&
+HttpServer::Counters() const noexcept
+{
+  return impl_->counters_;
+}
+
 } // namespace geraniumpin
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -4,6 +4,7 @@
 #include "../request/http_message.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,18 @@
 /// \brief Identifies a request that an HttpServer received.
 using ExchangeId = std::uint64_t;
 
+/// \brief Connections and requests of an HTTP server since its start.
+struct HttpServerCounters
+{
+  std::uint64_t acceptedConnections_ = 0;
+  std::uint64_t openConnections_ = 0;   ///< at present
+  std::uint64_t unusedConnections_ = 0; ///< closed before a whole request was read
+  std::uint64_t requests_ = 0;
+  std::uint64_t disconnects_ = 0; ///< the client closed its connection before the response
+
+  auto operator<=>(const HttpServerCounters&) const = default;
+};
+
 /// \brief Callbacks of an HTTP server.
 struct HttpHandlers
 {
@@ -53,6 +66,8 @@
   /// \brief Returns true if no request is pending.
   [[nodiscard]] bool IsIdle() const;
 
+  [[nodiscard]] const HttpServerCounters& Counters() const noexcept;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -81,8 +81,16 @@
                         { "max", summary.max_ } };
   }
   const auto transport = sources_.transport_();
+  const auto callers =
+    sources_.callerConnections_ ? sources_.callerConnections_() : HttpServerCounters{};
   return { { "counters", metrics.Counters() },
            { "durations_ms", durations },
+           { "callers",
+             { { "accepted_connections", callers.acceptedConnections_ },
+               { "open_connections", callers.openConnections_ },
+               { "unused_connections", callers.unusedConnections_ },
+               { "requests", callers.requests_ },
+               { "disconnects", callers.disconnects_ } } },
            { "transport",
              { { "sent_messages", transport.sentMessages_ },
                { "sent_bytes", transport.sentBytes_ },
--- a/src/adapters/process/admin_gateway.hpp
+++ b/src/adapters/process/admin_gateway.hpp
@@ -25,6 +25,7 @@
                                                   const std::string& aPath,
                                                   const std::optional<Digest>& aKeyDigest)>
     explain_;
+  std::function<HttpServerCounters()> callerConnections_{}; ///< may be empty
 };
 
 /// \brief Serves operators: GET /status, /metrics and /explain?host=H&method=M&path=P as JSON,
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -42,6 +42,8 @@
   /// \brief Returns true if no request is pending.
   [[nodiscard]] bool IsIdle() const { return server_.IsIdle(); }
 
+  [[nodiscard]] const HttpServerCounters& Counters() const noexcept { return server_.Counters(); }
+
   /// \brief Accepts the connections in the backlog, then stops listening.
   void StopAccepting() { server_.StopAccepting(); }
 
--- /dev/null
+++ b/tests/connection/http_server_test.cpp
@@ -0,0 +1,103 @@
+#define BOOST_TEST_MODULE http_server
+#include "../../src/adapters/connection/http_server.hpp"
+#include "../../src/adapters/process/system_clock.hpp"
+#include "../support/scripted_client.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+#include <vector>
+
+using namespace geraniumpin;
+using namespace geraniumpin::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longer than the delay before a pending request's connection is watched.
+constexpr milliseconds kWatchTime{ 60 };
+
+struct Fixture
+{
+  void RunLoop(milliseconds aTime)
+  {
+    const auto end = clock_.Now() + aTime;
+    while (clock_.Now() < end) {
+      loop_.RunOnce(end);
+    }
+  }
+
+  /// Runs the loop until that many requests have been received in total.
+  void AwaitRequests(std::size_t aCount)
+  {
+    const auto end = clock_.Now() + milliseconds(2000);
+    while (requests_.size() < aCount && clock_.Now() < end) {
+      loop_.RunOnce(clock_.Now() + milliseconds(5));
+    }
+    BOOST_REQUIRE(requests_.size() == aCount);
+  }
+
+  void Respond(std::size_t aIndex, const std::string& aBody)
+  {
+    server_.Respond(requests_.at(aIndex).first,
+                    { .status_ = 200, .headers_ = {}, .body_ = MakeBody(aBody) });
+  }
+
+  static std::string Post(const std::string& aPath, const std::string& aBody)
+  {
+    return "POST " + aPath +
+           " HTTP/1.1\r\nhost: shop.example\r\ncontent-length: " + std::to_string(aBody.size()) +
+           "\r\n\r\n" + aBody;
+  }
+
+  SystemClock clock_;
+  EventLoop loop_;
+  NodeAddress address_ = FindFreeAddress();
+  std::vector<std::pair<ExchangeId, HttpRequest>> requests_;
+  std::vector<ExchangeId> disconnected_;
+  HttpServer server_{ loop_,
+                      address_,
+                      1U << 20U,
+                      { [this](ExchangeId aId, const HttpRequest& aRequest) {
+                         requests_.emplace_back(aId, aRequest);
+                       },
+                        [this](ExchangeId aId) { disconnected_.push_back(aId); } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_connection_serves_several_requests, Fixture)
+{
+  ScriptedClient client(address_);
+  for (std::size_t i = 0; i < 3; ++i) {
+    client.Write(Post("/x", "body"));
+    AwaitRequests(i + 1);
+    Respond(i, "answer " + std::to_string(i));
+    RunLoop(milliseconds(10));
+    BOOST_TEST(client.Read().ends_with("answer " + std::to_string(i)));
+  }
+  BOOST_TEST(server_.IsIdle());
+  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 1, 0, 3 }));
+  client.Close();
+  RunLoop(milliseconds(20));
+  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 0, 0, 3 }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_malformed_request_is_answered_and_counted, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write("nonsense\r\n\r\n");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(client.Read().starts_with("HTTP/1.1 400"));
+  BOOST_TEST(client.IsClosedByServer());
+  BOOST_TEST(server_.Counters().unusedConnections_ == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_disconnect_of_a_waiting_client_is_reported_and_counted, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/x", "body"));
+  AwaitRequests(1);
+  client.Close();
+  RunLoop(kWatchTime);
+  BOOST_TEST(disconnected_.size() == 1U);
+  BOOST_TEST(server_.Counters().disconnects_ == 1U);
+}
