A connection whose caller left is released

Seen by callers: nothing; by operators: after a caller had closed its connection while its request was pending, the connection stayed in CLOSE_WAIT with its descriptor and its request's memory until the process ended, IsIdle was never true again, and a planned stop lasted to its timeout. Cause: HttpServer reported the disconnect but answered nothing, and h2o 2.2 releases a connection only after a response. The exchange now ends with 502 and Connection: close, which promises nothing, as a client that has only ended its stream receives it. FdWatch copies its callback for the call, since the callback may destroy the watch. Failed before: a_disconnect_releases_the_connection (not idle, 1 open connection), a_client_that_ends_its_stream_gets_one_failure (no 502), build/tests/http_server_test on.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
+constexpr int kBadGateway = 502;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
@@ -204,14 +205,24 @@
     char byte = 0;
     const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     auto* server = aExchange->server_;
-    const auto id = aExchange->id_;
     aExchange->disconnectWatch_.reset();
     if (received == 0 && !aExchange->responded_) {
-      ++server->counters_.disconnects_;
-      server->handlers_.onDisconnect_(id);
+      server->OnClientGone(*aExchange);
     }
   }
 
+  /// Reports a disconnect and ends the exchange, since h2o releases a connection only after a
+  /// response. A client that has merely ended its stream receives it, so the status must not
+  /// promise that the request has not run.
+  void OnClientGone(Exchange& aExchange)
+  {
+    const auto id = aExchange.id_;
+    ++counters_.disconnects_;
+    aExchange.request_->http1_is_persistent = 0;
+    Send(aExchange, { .status_ = impl::kBadGateway, .headers_ = {}, .body_ = {} });
+    handlers_.onDisconnect_(id);
+  }
+
   static void OnDispose(void* aMemory)
   {
     auto* exchange = static_cast<Exchange*>(aMemory);
@@ -232,24 +243,27 @@
   void Respond(ExchangeId aId, const HttpResponse& aResponse)
   {
     const auto found = exchanges_.find(aId);
-    if (found == exchanges_.end() || found->second->responded_) {
-      return;
+    if (found != exchanges_.end() && !found->second->responded_) {
+      Send(*found->second, aResponse);
     }
+  }
+
+  void Send(Exchange& aExchange, const HttpResponse& aResponse)
+  {
     loop_.SkipSleep();
-    auto& exchange = *found->second;
-    exchange.responded_ = true;
-    exchange.disconnectWatch_.reset();
-    if (h2o_timeout_is_linked(&exchange.watchDelay_.entry_)) {
-      h2o_timeout_unlink(&exchange.watchDelay_.entry_);
+    aExchange.responded_ = true;
+    aExchange.disconnectWatch_.reset();
+    if (h2o_timeout_is_linked(&aExchange.watchDelay_.entry_)) {
+      h2o_timeout_unlink(&aExchange.watchDelay_.entry_);
     }
-    exchange.body_ = aResponse.body_ ? aResponse.body_ : MakeBody("");
-    auto* request = exchange.request_;
+    aExchange.body_ = aResponse.body_ ? aResponse.body_ : MakeBody("");
+    auto* request = aExchange.request_;
     if (keepAliveDisabled_) {
       request->http1_is_persistent = 0;
     }
     request->res.status = aResponse.status_;
     request->res.reason = ReasonPhrase(aResponse.status_);
-    request->res.content_length = exchange.body_->size();
+    request->res.content_length = aExchange.body_->size();
     for (const auto& field : aResponse.headers_) {
       const auto name = h2o_strdup(&request->pool, field.name_.data(), field.name_.size());
       const auto value = h2o_strdup(&request->pool, field.value_.data(), field.value_.size());
@@ -262,8 +276,8 @@
                             value.base,
                             value.len);
     }
-    h2o_start_response(request, &exchange.generator_);
-    h2o_iovec_t buffer{ const_cast<char*>(exchange.body_->data()), exchange.body_->size() };
+    h2o_start_response(request, &aExchange.generator_);
+    h2o_iovec_t buffer{ const_cast<char*>(aExchange.body_->data()), aExchange.body_->size() };
     h2o_send(request, &buffer, 1, H2O_SEND_STATE_FINAL);
   }
 
--- a/src/adapters/process/event_loop.cpp
+++ b/src/adapters/process/event_loop.cpp
@@ -59,7 +59,9 @@
 void
 FdWatch::OnReadable(st_h2o_socket_t* aSocket, const char* /*aError*/)
 {
-  static_cast<FdWatch*>(aSocket->data)->onReadable_();
+  // Copied, since the callback may destroy the watch.
+  const auto onReadable = static_cast<FdWatch*>(aSocket->data)->onReadable_;
+  onReadable();
 }
 
 } // namespace geraniumpin
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -101,3 +101,94 @@
   BOOST_TEST(disconnected_.size() == 1U);
   BOOST_TEST(server_.Counters().disconnects_ == 1U);
 }
+
+// Guards against exchanges that stay for ever once their client has left: the server was never idle
+// again, and kept the connection's descriptor.
+BOOST_FIXTURE_TEST_CASE(a_disconnect_releases_the_connection, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/x", "body"));
+  AwaitRequests(1);
+  client.Close();
+  RunLoop(kWatchTime);
+  BOOST_TEST(server_.IsIdle());
+  BOOST_TEST(server_.Counters().openConnections_ == 0U);
+  Respond(0, "too late");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(disconnected_.size() == 1U);
+  BOOST_TEST(server_.Counters().disconnects_ == 1U);
+}
+
+// Guards against a response to the wrong request: the response to an abandoned request must not
+// be followed by another one.
+BOOST_FIXTURE_TEST_CASE(a_client_that_ends_its_stream_gets_one_failure, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/x", "body"));
+  AwaitRequests(1);
+  client.CloseWriteSide();
+  RunLoop(kWatchTime);
+  Respond(0, "too late");
+  RunLoop(milliseconds(20));
+  const auto response = client.Read();
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"));
+  BOOST_TEST(response.find("HTTP/1.1", 1) == std::string::npos);
+  BOOST_TEST(client.IsClosedByServer());
+}
+
+// Guards against bytes of the next request that the watch for a disconnect reads away.
+BOOST_FIXTURE_TEST_CASE(a_pipelined_request_is_answered_with_its_bytes_intact, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one"));
+  AwaitRequests(1);
+  RunLoop(kWatchTime);
+  const auto second = Post("/2", "two");
+  client.Write(second.substr(0, 10));
+  RunLoop(kWatchTime);
+  client.Write(second.substr(10));
+  RunLoop(kWatchTime);
+  BOOST_TEST(requests_.size() == 1U);
+  Respond(0, "first");
+  AwaitRequests(2);
+  BOOST_TEST(requests_[1].second.path_ == "/2");
+  BOOST_TEST(*requests_[1].second.body_ == "two");
+  RunLoop(kWatchTime);
+  Respond(1, "second");
+  RunLoop(milliseconds(20));
+  const auto responses = client.Read();
+  BOOST_TEST(responses.find("first") < responses.find("second"));
+  BOOST_TEST(responses.ends_with("second"));
+  BOOST_TEST(disconnected_.empty());
+}
+
+// Guards against a pipelined request that is passed on although its connection will be closed.
+BOOST_FIXTURE_TEST_CASE(a_pipelined_request_behind_the_last_response_is_not_received, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one") + Post("/2", "two"));
+  AwaitRequests(1);
+  server_.DisableKeepAlive();
+  Respond(0, "first");
+  RunLoop(kWatchTime);
+  const auto response = client.Read();
+  BOOST_TEST(response.find("Connection: close") != std::string::npos);
+  BOOST_TEST(response.ends_with("first"));
+  BOOST_TEST(requests_.size() == 1U);
+  BOOST_TEST(client.IsClosedByServer());
+}
+
+// Guards against an open connection that is cut when the server stops listening.
+BOOST_FIXTURE_TEST_CASE(an_open_connection_is_served_after_the_server_stops_listening, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one"));
+  AwaitRequests(1);
+  server_.DisableKeepAlive();
+  server_.StopAccepting();
+  RunLoop(kWatchTime);
+  Respond(0, "first");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(client.Read().ends_with("first"));
+  BOOST_TEST(client.IsClosedByServer());
+}
