A reset by the caller is a disconnect

Seen: a request whose caller reset its connection went on to the end, and instances worked for nobody (GONE). Cause: the check of the readable connection took only the end of the stream for a disconnect; recv fails with ECONNRESET after a reset, and the watch was dropped. poll reports both, keeps them apart from unread bytes and leaves the error on the socket for h2o. Failed before: a_reset_is_a_disconnect (0 disconnects, not idle), build/tests/http_server_test.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -5,6 +5,7 @@
 #include <h2o.h>
 #include <map>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace geraniumpin {
@@ -56,6 +57,16 @@
   return fd;
 }
 
+/// Returns true if the peer has closed or reset a connection; unread bytes before the end do not
+/// matter.
+bool
+HasPeerClosed(int aFd)
+{
+  pollfd connection{ .fd = aFd, .events = POLLRDHUP, .revents = 0 };
+  return poll(&connection, 1, 0) > 0 &&
+         (static_cast<unsigned>(connection.revents) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace
 } // namespace impl
 
@@ -202,12 +213,9 @@
 
   static void OnConnectionReadable(Exchange* aExchange, int aFd)
   {
-    char byte = 0;
-    const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    auto* server = aExchange->server_;
     aExchange->disconnectWatch_.reset();
-    if (received == 0 && !aExchange->responded_) {
-      server->OnClientGone(*aExchange);
+    if (impl::HasPeerClosed(aFd)) {
+      aExchange->server_->OnClientGone(*aExchange);
     }
   }
 
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -136,6 +136,18 @@
   BOOST_TEST(client.IsClosedByServer());
 }
 
+// Guards against a reset of the connection that is not taken for a disconnect.
+BOOST_FIXTURE_TEST_CASE(a_reset_is_a_disconnect, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/x", "body"));
+  AwaitRequests(1);
+  client.Reset();
+  RunLoop(kWatchTime);
+  BOOST_TEST(disconnected_.size() == 1U);
+  BOOST_TEST(server_.IsIdle());
+}
+
 // Guards against bytes of the next request that the watch for a disconnect reads away.
 BOOST_FIXTURE_TEST_CASE(a_pipelined_request_is_answered_with_its_bytes_intact, Fixture)
 {
