A disconnect behind unread bytes is noticed

Seen: a caller that had sent its next request already, or stray bytes, and then closed its connection was never taken for gone; its request went on to the end (GONE), its connection stayed. Cause: unread bytes keep the descriptor readable, so the watch was dropped for good at the first of them. Such a connection is now checked every 100 ms with poll, which reports the end behind unread bytes; the loop sleeps in between.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -20,6 +20,8 @@
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
 constexpr std::uint64_t kDisconnectWatchDelayMs = 20;
+// Interval of the checks of a connection with unread bytes.
+constexpr std::uint64_t kDisconnectRecheckDelayMs = 100;
 
 std::string
 ToText(const h2o_iovec_t& aVector)
@@ -57,14 +59,24 @@
   return fd;
 }
 
-/// Returns true if the peer has closed or reset a connection; unread bytes before the end do not
-/// matter.
-bool
-HasPeerClosed(int aFd)
+/// What can be read from a connection.
+enum class StreamState
+{
+  Empty,
+  Unread, ///< bytes
+  Closed  ///< closed or reset by the peer, perhaps behind unread bytes
+};
+
+StreamState
+FindStreamState(int aFd)
 {
-  pollfd connection{ .fd = aFd, .events = POLLRDHUP, .revents = 0 };
-  return poll(&connection, 1, 0) > 0 &&
-         (static_cast<unsigned>(connection.revents) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  pollfd connection{ .fd = aFd, .events = POLLIN | POLLRDHUP, .revents = 0 };
+  if (poll(&connection, 1, 0) <= 0) {
+    return StreamState::Empty;
+  }
+  const auto events = static_cast<unsigned>(connection.revents);
+  return (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0 ? StreamState::Closed
+                                                         : StreamState::Unread;
 }
 
 } // namespace
@@ -126,6 +138,7 @@
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
     h2o_timeout_init(loop_.Native(), &watchDelay_, impl::kDisconnectWatchDelayMs);
+    h2o_timeout_init(loop_.Native(), &recheckDelay_, impl::kDisconnectRecheckDelayMs);
     listener_ =
       h2o_evloop_socket_create(loop_.Native(), impl::Listen(aAddress), H2O_SOCKET_FLAG_DONT_READ);
     listener_->data = this;
@@ -206,16 +219,24 @@
     if (socket == nullptr || exchange->request_->version >= 0x200) {
       return;
     }
-    const int fd = h2o_socket_get_fd(socket);
-    exchange->disconnectWatch_ = std::make_unique<FdWatch>(
-      exchange->server_->loop_, fd, [exchange, fd] { OnConnectionReadable(exchange, fd); });
+    exchange->server_->WatchForDisconnect(*exchange, h2o_socket_get_fd(socket));
   }
 
-  static void OnConnectionReadable(Exchange* aExchange, int aFd)
+  /// Unread bytes keep the descriptor readable, so the connection is then checked at intervals.
+  void WatchForDisconnect(Exchange& aExchange, int aFd)
   {
-    aExchange->disconnectWatch_.reset();
-    if (impl::HasPeerClosed(aFd)) {
-      aExchange->server_->OnClientGone(*aExchange);
+    aExchange.disconnectWatch_.reset();
+    switch (impl::FindStreamState(aFd)) {
+      case impl::StreamState::Empty:
+        aExchange.disconnectWatch_ = std::make_unique<FdWatch>(
+          loop_, aFd, [&aExchange, aFd] { aExchange.server_->WatchForDisconnect(aExchange, aFd); });
+        break;
+      case impl::StreamState::Unread:
+        h2o_timeout_link(loop_.Native(), &recheckDelay_, &aExchange.watchDelay_.entry_);
+        break;
+      case impl::StreamState::Closed:
+        OnClientGone(aExchange);
+        break;
     }
   }
 
@@ -296,6 +317,7 @@
   h2o_context_t context_{};
   h2o_accept_ctx_t accept_{};
   h2o_timeout_t watchDelay_{};
+  h2o_timeout_t recheckDelay_{};
   h2o_socket_t* listener_ = nullptr;
   bool keepAliveDisabled_ = false;
   ExchangeId nextId_ = 1;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -148,6 +148,37 @@
   BOOST_TEST(server_.IsIdle());
 }
 
+// Guards against a disconnect that goes unnoticed behind unread bytes.
+BOOST_FIXTURE_TEST_CASE(a_disconnect_behind_a_pipelined_request_is_noticed, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one"));
+  AwaitRequests(1);
+  client.Write(Post("/2", "two"));
+  RunLoop(kWatchTime);
+  client.Close();
+  RunLoop(milliseconds(500));
+  BOOST_TEST(disconnected_.size() == 1U);
+  BOOST_TEST(requests_.size() == 1U);
+  BOOST_TEST(server_.IsIdle());
+}
+
+// Guards against a loop that does not sleep while bytes of a pipelined request are unread.
+BOOST_FIXTURE_TEST_CASE(unread_bytes_do_not_wake_the_loop_again_and_again, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one"));
+  AwaitRequests(1);
+  client.Write(Post("/2", "two"));
+  RunLoop(kWatchTime);
+  const auto end = clock_.Now() + milliseconds(500);
+  int turns = 0;
+  for (; clock_.Now() < end; ++turns) {
+    loop_.RunOnce(end);
+  }
+  BOOST_TEST(turns < 50);
+}
+
 // Guards against bytes of the next request that the watch for a disconnect reads away.
 BOOST_FIXTURE_TEST_CASE(a_pipelined_request_is_answered_with_its_bytes_intact, Fixture)
 {
