A burst of connections is accepted in one turn of the loop

Seen: on a slow processor, where a turn of the loop takes long, new connections waited in the backlog, one for each turn, until their callers gave up. Cause: OnAccept took one connection for each readable event. It takes up to 16 now; the bound leaves time for open connections, and the listener stays readable for the rest. Failed before: a_burst_of_connections_is_accepted_at_once (1 of 16), build/tests/http_server_test.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kMaxAcceptsPerEvent = 16; // leaves time for the requests of open connections
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
 constexpr int kBadGateway = 502;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
@@ -151,7 +152,8 @@
       return;
     }
     auto* server = static_cast<Impl*>(aListener->data);
-    (void)server->AcceptOne();
+    for (int i = 0; i < impl::kMaxAcceptsPerEvent && server->AcceptOne(); ++i) {
+    }
   }
 
   /// \returns True if a connection was in the backlog.
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -205,6 +205,17 @@
   BOOST_TEST(disconnected_.empty());
 }
 
+// Guards against connections that wait in the backlog: one was accepted in each turn of the loop.
+BOOST_FIXTURE_TEST_CASE(a_burst_of_connections_is_accepted_at_once, Fixture)
+{
+  std::vector<std::unique_ptr<ScriptedClient>> clients;
+  for (int i = 0; i < 16; ++i) {
+    clients.push_back(std::make_unique<ScriptedClient>(address_));
+  }
+  loop_.RunOnce(clock_.Now() + milliseconds(100));
+  BOOST_TEST(server_.Counters().acceptedConnections_ == 16U);
+}
+
 // Guards against a pipelined request that is passed on although its connection will be closed.
 BOOST_FIXTURE_TEST_CASE(a_pipelined_request_behind_the_last_response_is_not_received, Fixture)
 {
