A node without spare descriptors goes on

Seen: with no descriptor left, the process ended (event=fd_watch_failed) and every pending request of its callers ended without an answer (LOST, Own ends); the listener kept the loop from sleeping while its backlog could not be accepted. Cause: the watch for a disconnect duplicates the descriptor of the connection and took a failure for a broken invariant; a failed accept left the level-triggered listener readable. A connection that cannot be watched is now checked every 100 ms, and accepting pauses for 100 ms and is counted (accept_failures). Failed before: a_disconnect_is_noticed_without_a_spare_descriptor and accepting_goes_on_once_descriptors_are_free (both SIGABRT), build/tests/http_server_test.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.hpp"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <glog/logging.h>
 #include <h2o.h>
 #include <map>
@@ -21,8 +22,9 @@
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
 constexpr std::uint64_t kDisconnectWatchDelayMs = 20;
-// Interval of the checks of a connection with unread bytes.
-constexpr std::uint64_t kDisconnectRecheckDelayMs = 100;
+// Interval of the checks of a connection that cannot be watched, and of attempts to accept while no
+// descriptor is left.
+constexpr std::uint64_t kRetryDelayMs = 100;
 
 std::string
 ToText(const h2o_iovec_t& aVector)
@@ -107,6 +109,13 @@
     WatchDelay watchDelay_{};
     std::unique_ptr<FdWatch> disconnectWatch_;
   };
+  /// A timer with a pointer to its server.
+  struct AcceptPause
+  {
+    h2o_timeout_entry_t entry_{};
+    Impl* server_ = nullptr;
+  };
+
   /// Deleted when its socket closes.
   struct Connection
   {
@@ -139,10 +148,12 @@
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
     h2o_timeout_init(loop_.Native(), &watchDelay_, impl::kDisconnectWatchDelayMs);
-    h2o_timeout_init(loop_.Native(), &recheckDelay_, impl::kDisconnectRecheckDelayMs);
+    h2o_timeout_init(loop_.Native(), &retryDelay_, impl::kRetryDelayMs);
     listener_ =
       h2o_evloop_socket_create(loop_.Native(), impl::Listen(aAddress), H2O_SOCKET_FLAG_DONT_READ);
     listener_->data = this;
+    acceptPause_.server_ = this;
+    acceptPause_.entry_.cb = OnAcceptPauseEnd;
     h2o_socket_read_start(listener_, OnAccept);
   }
 
@@ -161,6 +172,9 @@
   {
     auto* socket = h2o_evloop_socket_accept(listener_);
     if (socket == nullptr) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        PauseAccepting();
+      }
       return false;
     }
     ++counters_.acceptedConnections_;
@@ -171,6 +185,22 @@
     return true;
   }
 
+  /// The listener stays readable while its backlog cannot be accepted, which would keep the loop
+  /// from sleeping.
+  void PauseAccepting()
+  {
+    ++counters_.acceptFailures_;
+    h2o_socket_read_stop(listener_);
+    if (!h2o_timeout_is_linked(&acceptPause_.entry_)) {
+      h2o_timeout_link(loop_.Native(), &retryDelay_, &acceptPause_.entry_);
+    }
+  }
+
+  static void OnAcceptPauseEnd(h2o_timeout_entry_t* aEntry)
+  {
+    h2o_socket_read_start(reinterpret_cast<AcceptPause*>(aEntry)->server_->listener_, OnAccept);
+  }
+
   static void OnConnectionClosed(void* aConnection)
   {
     const std::unique_ptr<Connection> connection(static_cast<Connection*>(aConnection));
@@ -224,21 +254,22 @@
     exchange->server_->WatchForDisconnect(*exchange, h2o_socket_get_fd(socket));
   }
 
-  /// Unread bytes keep the descriptor readable, so the connection is then checked at intervals.
+  /// Unread bytes keep the descriptor readable, so the connection is then checked at intervals, as
+  /// it is if no descriptor is left for a watch.
   void WatchForDisconnect(Exchange& aExchange, int aFd)
   {
     aExchange.disconnectWatch_.reset();
-    switch (impl::FindStreamState(aFd)) {
-      case impl::StreamState::Empty:
-        aExchange.disconnectWatch_ = std::make_unique<FdWatch>(
-          loop_, aFd, [&aExchange, aFd] { aExchange.server_->WatchForDisconnect(aExchange, aFd); });
-        break;
-      case impl::StreamState::Unread:
-        h2o_timeout_link(loop_.Native(), &recheckDelay_, &aExchange.watchDelay_.entry_);
-        break;
-      case impl::StreamState::Closed:
-        OnClientGone(aExchange);
-        break;
+    const auto state = impl::FindStreamState(aFd);
+    if (state == impl::StreamState::Closed) {
+      OnClientGone(aExchange);
+      return;
+    }
+    if (state == impl::StreamState::Empty) {
+      aExchange.disconnectWatch_ = FdWatch::TryCreate(
+        loop_, aFd, [&aExchange, aFd] { aExchange.server_->WatchForDisconnect(aExchange, aFd); });
+    }
+    if (!aExchange.disconnectWatch_) {
+      h2o_timeout_link(loop_.Native(), &retryDelay_, &aExchange.watchDelay_.entry_);
     }
   }
 
@@ -319,7 +350,8 @@
   h2o_context_t context_{};
   h2o_accept_ctx_t accept_{};
   h2o_timeout_t watchDelay_{};
-  h2o_timeout_t recheckDelay_{};
+  h2o_timeout_t retryDelay_{};
+  AcceptPause acceptPause_;
   h2o_socket_t* listener_ = nullptr;
   bool keepAliveDisabled_ = false;
   ExchangeId nextId_ = 1;
@@ -356,6 +388,9 @@
   }
   while (impl_->AcceptOne()) {
   }
+  if (h2o_timeout_is_linked(&impl_->acceptPause_.entry_)) {
+    h2o_timeout_unlink(&impl_->acceptPause_.entry_);
+  }
   h2o_socket_close(impl_->listener_);
   impl_->listener_ = nullptr;
   h2o_context_request_shutdown(&impl_->context_);
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -20,6 +20,7 @@
   std::uint64_t acceptedConnections_ = 0;
   std::uint64_t openConnections_ = 0;   ///< at present
   std::uint64_t unusedConnections_ = 0; ///< closed before a whole request was read
+  std::uint64_t acceptFailures_ = 0;    ///< no descriptor or memory was left
   std::uint64_t requests_ = 0;
   std::uint64_t disconnects_ = 0; ///< the client closed its connection before the response
 
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -89,6 +89,7 @@
              { { "accepted_connections", callers.acceptedConnections_ },
                { "open_connections", callers.openConnections_ },
                { "unused_connections", callers.unusedConnections_ },
+               { "accept_failures", callers.acceptFailures_ },
                { "requests", callers.requests_ },
                { "disconnects", callers.disconnects_ } } },
            { "transport",
--- a/src/adapters/process/event_loop.cpp
+++ b/src/adapters/process/event_loop.cpp
@@ -41,16 +41,34 @@
 }
 
 FdWatch::FdWatch(EventLoop& aLoop, int aFd, std::function<void()> aOnReadable)
+  : FdWatch(aLoop, Duplicate(aFd), std::move(aOnReadable))
+{
+}
+
+FdWatch::FdWatch(EventLoop& aLoop, OwnedFd aFd, std::function<void()> aOnReadable)
   : onReadable_(std::move(aOnReadable))
 {
-  // h2o closes the descriptor of its socket, so it gets a duplicate.
-  const int duplicate = fcntl(aFd, F_DUPFD_CLOEXEC, 0);
-  PCHECK(duplicate >= 0) << "event=fd_watch_failed";
-  socket_ = h2o_evloop_socket_create(aLoop.Native(), duplicate, H2O_SOCKET_FLAG_DONT_READ);
+  PCHECK(aFd.fd_ >= 0) << "event=fd_watch_failed";
+  socket_ = h2o_evloop_socket_create(aLoop.Native(), aFd.fd_, H2O_SOCKET_FLAG_DONT_READ);
   socket_->data = this;
   h2o_socket_read_start(socket_, OnReadable);
 }
 
+std::unique_ptr<FdWatch>
+FdWatch::TryCreate(EventLoop& aLoop, int aFd, std::function<void()> aOnReadable)
+{
+  const auto fd = Duplicate(aFd);
+  return std::unique_ptr<FdWatch>(fd.fd_ < 0 ? nullptr
+                                             : new FdWatch(aLoop, fd, std::move(aOnReadable)));
+}
+
+/// h2o closes the descriptor of its socket, so it gets a duplicate.
+FdWatch::OwnedFd
+FdWatch::Duplicate(int aFd) noexcept
+{
+  return { fcntl(aFd, F_DUPFD_CLOEXEC, 0) };
+}
+
 FdWatch::~FdWatch()
 {
   h2o_socket_close(socket_);
--- a/src/adapters/process/event_loop.hpp
+++ b/src/adapters/process/event_loop.hpp
@@ -45,13 +45,27 @@
 class FdWatch
 {
 public:
+  /// \brief Starts to watch; terminates the process if no descriptor is left for the watch.
   /// \param aOnReadable Called whenever the descriptor is readable.
   FdWatch(EventLoop& aLoop, int aFd, std::function<void()> aOnReadable);
   ~FdWatch();
   FdWatch(const FdWatch&) = delete;
   FdWatch& operator=(const FdWatch&) = delete;
 
+  /// \brief Starts to watch; returns null if no descriptor is left for the watch.
+  [[nodiscard]] static std::unique_ptr<FdWatch> TryCreate(EventLoop& aLoop,
+                                                          int aFd,
+                                                          std::function<void()> aOnReadable);
+
 private:
+  /// A descriptor that the watch closes.
+  struct OwnedFd
+  {
+    int fd_;
+  };
+
+  FdWatch(EventLoop& aLoop, OwnedFd aFd, std::function<void()> aOnReadable);
+  [[nodiscard]] static OwnedFd Duplicate(int aFd) noexcept;
   static void OnReadable(st_h2o_socket_t* aSocket, const char* aError);
 
   std::function<void()> onReadable_;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include "../support/scripted_client.hpp"
 
 #include <boost/test/included/unit_test.hpp>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace geraniumpin;
@@ -15,6 +16,27 @@
 /// Longer than the delay before a pending request's connection is watched.
 constexpr milliseconds kWatchTime{ 60 };
 
+/// Limits the process to the descriptors that are open, and some more.
+class DescriptorLimit
+{
+public:
+  explicit DescriptorLimit(int aSpare)
+  {
+    getrlimit(RLIMIT_NOFILE, &former_);
+    const int next = dup(0);
+    close(next);
+    auto limit = former_;
+    limit.rlim_cur = static_cast<rlim_t>(next + aSpare);
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &former_); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+private:
+  rlimit former_{};
+};
+
 struct Fixture
 {
   void RunLoop(milliseconds aTime)
@@ -75,10 +97,10 @@
     BOOST_TEST(client.Read().ends_with("answer " + std::to_string(i)));
   }
   BOOST_TEST(server_.IsIdle());
-  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 1, 0, 3 }));
+  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 1, 0, 0, 3 }));
   client.Close();
   RunLoop(milliseconds(20));
-  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 0, 0, 3 }));
+  BOOST_TEST((server_.Counters() == HttpServerCounters{ 1, 0, 0, 0, 3 }));
 }
 
 BOOST_FIXTURE_TEST_CASE(a_malformed_request_is_answered_and_counted, Fixture)
@@ -246,3 +268,49 @@
   BOOST_TEST(client.Read().ends_with("first"));
   BOOST_TEST(client.IsClosedByServer());
 }
+
+// Guards against a process that ends, with all pending requests, because no descriptor is left to
+// watch a connection.
+BOOST_FIXTURE_TEST_CASE(a_disconnect_is_noticed_without_a_spare_descriptor, Fixture)
+{
+  ScriptedClient first(address_);
+  ScriptedClient second(address_);
+  const DescriptorLimit limit(2); // for the accepted connections
+  first.Write(Post("/1", "one"));
+  second.Write(Post("/2", "two"));
+  AwaitRequests(2);
+  RunLoop(kWatchTime);
+  first.Close();
+  RunLoop(milliseconds(300));
+  BOOST_TEST(disconnected_.size() == 1U);
+  Respond(0, "answer");
+  Respond(1, "answer");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(second.Read().ends_with("answer"));
+}
+
+// Guards against a loop that does not sleep while a connection waits for a descriptor, and against
+// one that is never accepted.
+BOOST_FIXTURE_TEST_CASE(accepting_goes_on_once_descriptors_are_free, Fixture)
+{
+  ScriptedClient first(address_);
+  ScriptedClient second(address_);
+  first.Write(Post("/1", "one"));
+  second.Write(Post("/2", "two"));
+  {
+    const DescriptorLimit limit(1);
+    AwaitRequests(1);
+    const auto end = clock_.Now() + milliseconds(300);
+    int turns = 0;
+    for (; clock_.Now() < end; ++turns) {
+      loop_.RunOnce(end);
+    }
+    BOOST_TEST(turns < 50);
+    BOOST_TEST(server_.Counters().acceptFailures_ > 0U);
+  }
+  AwaitRequests(2);
+  Respond(0, "answer");
+  Respond(1, "answer");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(second.Read().ends_with("answer"));
+}
