A request whose caller left before it was read is not passed on

Seen: on a node that reads late, requests reached instances long after their callers had left (GONE). Cause: the end of the stream was looked for only 20 ms after a request was read. CallerGateway now asks for it when it receives a request (one poll); EntryService refuses such a call as not run with reason cancelled, counts it in calls_abandoned and writes its call_end. Failed before: a_request_whose_caller_left_before_it_was_read_does_not_run (it ran), build/tests/node_test without the check. The test's DescriptorLimit counts free descriptors, since earlier cases leave gaps.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -56,6 +56,11 @@
   void OnCall(const Call& aCall, ConfigFreshness aFreshness)
   {
     context_.GetMetrics().Count("calls");
+    if (aCall.isAbandoned_) {
+      context_.GetMetrics().Count("calls_abandoned");
+      Refuse(aCall, Reason::Cancelled);
+      return;
+    }
     if (acceptingStopped_) {
       Refuse(aCall, Reason::Draining);
       return;
--- a/include/geraniumpin/request/call.hpp
+++ b/include/geraniumpin/request/call.hpp
@@ -64,7 +64,8 @@
   const std::string callToken_;      ///< of a call that a backend server makes; else empty
   const std::string idempotencyKey_; ///< empty if the caller sent none
   const TimePoint arrivedAt_;
-  const Duration timeout_{}; ///< timeout set by the caller; zero if none
+  const Duration timeout_{};       ///< timeout set by the caller; zero if none
+  const bool isAbandoned_ = false; ///< its caller had closed its connection before it was read
 };
 
 /// \brief The result of a request, as the caller gets it.
--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -246,12 +246,18 @@
   static void OnWatchDelay(h2o_timeout_entry_t* aEntry)
   {
     auto* exchange = reinterpret_cast<WatchDelay*>(aEntry)->exchange_;
-    auto* connection = exchange->request_->conn;
-    auto* socket = connection->callbacks->get_socket(connection);
-    if (socket == nullptr || exchange->request_->version >= 0x200) {
-      return;
+    if (const int fd = FindHttp1Connection(*exchange); fd >= 0) {
+      exchange->server_->WatchForDisconnect(*exchange, fd);
     }
-    exchange->server_->WatchForDisconnect(*exchange, h2o_socket_get_fd(socket));
+  }
+
+  /// \returns The descriptor; -1 if the request came over HTTP/2, whose connections h2o reads.
+  static int FindHttp1Connection(const Exchange& aExchange)
+  {
+    auto* connection = aExchange.request_->conn;
+    auto* socket = connection->callbacks->get_socket(connection);
+    const bool isHttp1 = socket != nullptr && aExchange.request_->version < 0x200;
+    return isHttp1 ? h2o_socket_get_fd(socket) : -1;
   }
 
   /// Unread bytes keep the descriptor readable, so the connection is then checked at intervals, as
@@ -380,6 +386,17 @@
   impl_->Respond(aId, aResponse);
 }
 
+bool
+HttpServer::HasClientClosed(ExchangeId aId) const
+{
+  const auto found = impl_->exchanges_.find(aId);
+  if (found == impl_->exchanges_.end()) {
+    return true;
+  }
+  const int fd = Impl::FindHttp1Connection(*found->second);
+  return fd >= 0 && impl::FindStreamState(fd) == impl::StreamState::Closed;
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -58,6 +58,11 @@
   /// \brief Sends a response; does nothing if the client has disconnected.
   void Respond(ExchangeId aId, const HttpResponse& aResponse);
 
+  /// \brief Returns true if the client of a pending HTTP/1 request has closed its connection.
+  ///
+  /// A request can be read long after it was sent; the disconnect itself is reported later.
+  [[nodiscard]] bool HasClientClosed(ExchangeId aId) const;
+
   /// \brief Closes each connection after its next response.
   void DisableKeepAlive();
 
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -144,7 +144,8 @@
                     .callToken_ = field(names_.callToken_),
                     .idempotencyKey_ = field(names_.idempotencyKey_),
                     .arrivedAt_ = clock_.Now(),
-                    .timeout_ = impl::ParseMilliseconds(field(names_.callerTimeout_)) });
+                    .timeout_ = impl::ParseMilliseconds(field(names_.callerTimeout_)),
+                    .isAbandoned_ = server_.HasClientClosed(aId) });
 }
 
 void
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -23,10 +23,11 @@
   explicit DescriptorLimit(int aSpare)
   {
     getrlimit(RLIMIT_NOFILE, &former_);
-    const int next = dup(0);
-    close(next);
     auto limit = former_;
-    limit.rlim_cur = static_cast<rlim_t>(next + aSpare);
+    limit.rlim_cur = 0;
+    for (int spare = 0; spare < aSpare; ++limit.rlim_cur) {
+      spare += fcntl(static_cast<int>(limit.rlim_cur), F_GETFD) < 0 ? 1 : 0;
+    }
     BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
   }
   ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &former_); }
@@ -75,11 +76,13 @@
   NodeAddress address_ = FindFreeAddress();
   std::vector<std::pair<ExchangeId, HttpRequest>> requests_;
   std::vector<ExchangeId> disconnected_;
+  bool clientClosedAtReceipt_ = false; ///< of the last request
   HttpServer server_{ loop_,
                       address_,
                       1U << 20U,
                       { [this](ExchangeId aId, const HttpRequest& aRequest) {
                          requests_.emplace_back(aId, aRequest);
+                         clientClosedAtReceipt_ = server_.HasClientClosed(aId);
                        },
                         [this](ExchangeId aId) { disconnected_.push_back(aId); } } };
 };
@@ -238,6 +241,25 @@
   BOOST_TEST(server_.Counters().acceptedConnections_ == 16U);
 }
 
+// Guards against a request whose client left before it was read and that is served all the same.
+BOOST_FIXTURE_TEST_CASE(a_client_that_left_before_its_request_was_read_is_known, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/x", "body"));
+  client.Close();
+  AwaitRequests(1);
+  BOOST_TEST(clientClosedAtReceipt_);
+  Respond(0, "ignored");
+  RunLoop(milliseconds(20));
+  BOOST_TEST(server_.Counters().openConnections_ == 0U);
+  BOOST_TEST(disconnected_.empty());
+
+  ScriptedClient present(address_);
+  present.Write(Post("/x", "body"));
+  AwaitRequests(2);
+  BOOST_TEST(!clientClosedAtReceipt_);
+}
+
 // Guards against a pipelined request that is passed on although its connection will be closed.
 BOOST_FIXTURE_TEST_CASE(a_pipelined_request_behind_the_last_response_is_not_received, Fixture)
 {
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -367,6 +367,35 @@
   BOOST_TEST(limit() < warm);
 }
 
+// Guards against work for a caller that left before its request was read (rule GONE).
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_before_it_was_read_does_not_run)
+{
+  FakeMesh mesh(9);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto call = [&](std::uint64_t aSequence, bool aAbandoned) {
+    mesh.At(NodeAt(1, 1))
+      .OnCall({ .id_ = { 77, aSequence },
+                .method_ = "POST",
+                .path_ = "/orders/1",
+                .headers_ = {},
+                .body_ = MakeBody("body"),
+                .key_ = "key-small",
+                .callToken_ = {},
+                .idempotencyKey_ = {},
+                .arrivedAt_ = mesh.clock_.Now(),
+                .timeout_ = {},
+                .isAbandoned_ = aAbandoned });
+    mesh.Run(milliseconds(400));
+  };
+  call(1, true);
+  BOOST_TEST(mesh.backendRequests_.empty());
+  BOOST_TEST((mesh.answers_.at({ 77, 1 }).outcome_ == Outcome::NotRun));
+  BOOST_TEST((mesh.answers_.at({ 77, 1 }).reason_ == Reason::Cancelled));
+  BOOST_TEST(mesh.At(NodeAt(1, 1)).GetMetrics().Counters().at("calls_abandoned") == 1U);
+  call(2, false);
+  BOOST_TEST((mesh.answers_.at({ 77, 2 }).outcome_ == Outcome::Answered));
+}
+
 // Load pattern "held up link": the deadline of the caller passes while its request is on the way.
 BOOST_AUTO_TEST_CASE(a_request_delayed_beyond_its_deadline_does_not_run)
 {
