--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <glog/logging.h>
 #include <h2o.h>
 #include <map>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace geraniumpin {
@@ -14,11 +16,16 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kMaxAcceptsPerEvent = 16; // leaves time for the requests of open connections
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
+constexpr int kBadGateway = 502;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
 constexpr std::uint64_t kDisconnectWatchDelayMs = 20;
+// Interval of the checks of a connection that cannot be watched, and of attempts to accept while no
+// descriptor is left.
+constexpr std::uint64_t kRetryDelayMs = 100;
 
 std::string
 ToText(const h2o_iovec_t& aVector)
@@ -56,6 +63,32 @@
   return fd;
 }
 
+/// What can be read from a connection.
+enum class StreamState
+{
+  Empty,
+  Unread, ///< bytes
+  Closed  ///< closed or reset by the peer, perhaps behind unread bytes
+};
+
+StreamState
+FindStreamState(int aFd)
+{
+  pollfd connection{ .fd = aFd, .events = POLLIN | POLLRDHUP, .revents = 0 };
+  if (poll(&connection, 1, 0) <= 0) {
+    return StreamState::Empty;
+  }
+  if ((static_cast<unsigned>(connection.revents) & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    return StreamState::Closed;
+  }
+  char byte = 0;
+  const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (received > 0) {
+    return StreamState::Unread;
+  }
+  return received < 0 && errno == EAGAIN ? StreamState::Empty : StreamState::Closed;
+}
+
 } // namespace
 } // namespace impl
 
@@ -83,6 +116,19 @@
     WatchDelay watchDelay_{};
     std::unique_ptr<FdWatch> disconnectWatch_;
   };
+  /// A timer with a pointer to its server.
+  struct AcceptPause
+  {
+    h2o_timeout_entry_t entry_{};
+    Impl* server_ = nullptr;
+  };
+
+  /// Deleted when its socket closes.
+  struct Connection
+  {
+    Impl* server_ = nullptr;
+    bool hasSentRequest_ = false;
+  };
   struct Handler
   {
     h2o_handler_t base_;
@@ -109,9 +155,12 @@
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
     h2o_timeout_init(loop_.Native(), &watchDelay_, impl::kDisconnectWatchDelayMs);
+    h2o_timeout_init(loop_.Native(), &retryDelay_, impl::kRetryDelayMs);
     listener_ =
       h2o_evloop_socket_create(loop_.Native(), impl::Listen(aAddress), H2O_SOCKET_FLAG_DONT_READ);
     listener_->data = this;
+    acceptPause_.server_ = this;
+    acceptPause_.entry_.cb = OnAcceptPauseEnd;
     h2o_socket_read_start(listener_, OnAccept);
   }
 
@@ -121,17 +170,52 @@
       return;
     }
     auto* server = static_cast<Impl*>(aListener->data);
-    (void)server->AcceptOne();
+    for (int i = 0; i < impl::kMaxAcceptsPerEvent && server->AcceptOne(); ++i) {
+    }
   }
 
   /// \returns True if a connection was in the backlog.
   bool AcceptOne()
   {
     auto* socket = h2o_evloop_socket_accept(listener_);
-    if (socket != nullptr) {
-      h2o_accept(&accept_, socket);
+    if (socket == nullptr) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        PauseAccepting();
+      }
+      return false;
+    }
+    ++counters_.acceptedConnections_;
+    ++counters_.openConnections_;
+    socket->on_close.cb = OnConnectionClosed;
+    socket->on_close.data = new Connection{ this };
+    h2o_accept(&accept_, socket);
+    return true;
+  }
+
+  /// The listener stays readable while its backlog cannot be accepted, which would keep the loop
+  /// from sleeping.
+  void PauseAccepting()
+  {
+    ++counters_.acceptFailures_;
+    h2o_socket_read_stop(listener_);
+    if (!h2o_timeout_is_linked(&acceptPause_.entry_)) {
+      h2o_timeout_link(loop_.Native(), &retryDelay_, &acceptPause_.entry_);
+    }
+  }
+
+  static void OnAcceptPauseEnd(h2o_timeout_entry_t* aEntry)
+  {
+    h2o_socket_read_start(reinterpret_cast<AcceptPause*>(aEntry)->server_->listener_, OnAccept);
+  }
+
+  static void OnConnectionClosed(void* aConnection)
+  {
+    const std::unique_ptr<Connection> connection(static_cast<Connection*>(aConnection));
+    auto& counters = connection->server_->counters_;
+    --counters.openConnections_;
+    if (!connection->hasSentRequest_) {
+      ++counters.unusedConnections_;
     }
-    return socket != nullptr;
   }
 
   static int OnRequest(h2o_handler_t* aHandler, h2o_req_t* aRequest)
@@ -146,6 +230,10 @@
     auto* memory = h2o_mem_alloc_shared(&aRequest->pool, sizeof(Exchange), OnDispose);
     auto* exchange = new (memory) Exchange{ this, nextId_++, aRequest };
     exchanges_.emplace(exchange->id_, exchange);
+    ++counters_.requests_;
+    if (auto* socket = aRequest->conn->callbacks->get_socket(aRequest->conn)) {
+      static_cast<Connection*>(socket->on_close.data)->hasSentRequest_ = true;
+    }
     if (handlers_.onDisconnect_) {
       exchange->watchDelay_.exchange_ = exchange;
       exchange->watchDelay_.entry_.cb = OnWatchDelay;
@@ -165,26 +253,49 @@
   static void OnWatchDelay(h2o_timeout_entry_t* aEntry)
   {
     auto* exchange = reinterpret_cast<WatchDelay*>(aEntry)->exchange_;
-    auto* connection = exchange->request_->conn;
+    if (const int fd = FindHttp1Connection(*exchange); fd >= 0) {
+      exchange->server_->WatchForDisconnect(*exchange, fd);
+    }
+  }
+
+  /// \returns The descriptor; -1 if the request came over HTTP/2, whose connections h2o reads.
+  static int FindHttp1Connection(const Exchange& aExchange)
+  {
+    auto* connection = aExchange.request_->conn;
     auto* socket = connection->callbacks->get_socket(connection);
-    if (socket == nullptr || exchange->request_->version >= 0x200) {
+    const bool isHttp1 = socket != nullptr && aExchange.request_->version < 0x200;
+    return isHttp1 ? h2o_socket_get_fd(socket) : -1;
+  }
+
+  /// Unread bytes keep the descriptor readable, so the connection is then checked at intervals, as
+  /// it is if no descriptor is left for a watch.
+  void WatchForDisconnect(Exchange& aExchange, int aFd)
+  {
+    aExchange.disconnectWatch_.reset();
+    const auto state = impl::FindStreamState(aFd);
+    if (state == impl::StreamState::Closed) {
+      OnClientGone(aExchange);
       return;
     }
-    const int fd = h2o_socket_get_fd(socket);
-    exchange->disconnectWatch_ = std::make_unique<FdWatch>(
-      exchange->server_->loop_, fd, [exchange, fd] { OnConnectionReadable(exchange, fd); });
+    if (state == impl::StreamState::Empty) {
+      aExchange.disconnectWatch_ = FdWatch::TryCreate(
+        loop_, aFd, [&aExchange, aFd] { aExchange.server_->WatchForDisconnect(aExchange, aFd); });
+    }
+    if (!aExchange.disconnectWatch_) {
+      h2o_timeout_link(loop_.Native(), &retryDelay_, &aExchange.watchDelay_.entry_);
+    }
   }
 
-  static void OnConnectionReadable(Exchange* aExchange, int aFd)
+  /// Reports a disconnect and ends the exchange, since h2o releases a connection only after a
+  /// response. A client that has merely ended its stream receives it, so the status must not
+  /// promise that the request has not run.
+  void OnClientGone(Exchange& aExchange)
   {
-    char byte = 0;
-    const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    auto* server = aExchange->server_;
-    const auto id = aExchange->id_;
-    aExchange->disconnectWatch_.reset();
-    if (received == 0 && !aExchange->responded_) {
-      server->handlers_.onDisconnect_(id);
-    }
+    const auto id = aExchange.id_;
+    ++counters_.disconnects_;
+    aExchange.request_->http1_is_persistent = 0;
+    Send(aExchange, { .status_ = impl::kBadGateway, .headers_ = {}, .body_ = {} });
+    handlers_.onDisconnect_(id);
   }
 
   static void OnDispose(void* aMemory)
@@ -195,8 +306,11 @@
       h2o_timeout_unlink(&exchange->watchDelay_.entry_);
     }
     server->exchanges_.erase(exchange->id_);
-    if (!exchange->responded_ && server->handlers_.onDisconnect_) {
-      server->handlers_.onDisconnect_(exchange->id_);
+    if (!exchange->responded_) {
+      ++server->counters_.disconnects_;
+      if (server->handlers_.onDisconnect_) {
+        server->handlers_.onDisconnect_(exchange->id_);
+      }
     }
     exchange->~Exchange();
   }
@@ -204,24 +318,27 @@
   void Respond(ExchangeId aId, const HttpResponse& aResponse)
   {
     const auto found = exchanges_.find(aId);
-    if (found == exchanges_.end() || found->second->responded_) {
-      return;
+    if (found != exchanges_.end() && !found->second->responded_) {
+      Send(*found->second, aResponse);
     }
+  }
+
+  void Send(Exchange& aExchange, const HttpResponse& aResponse)
+  {
     loop_.SkipSleep();
-    auto& exchange = *found->second;
-    exchange.responded_ = true;
-    exchange.disconnectWatch_.reset();
-    if (h2o_timeout_is_linked(&exchange.watchDelay_.entry_)) {
-      h2o_timeout_unlink(&exchange.watchDelay_.entry_);
+    aExchange.responded_ = true;
+    aExchange.disconnectWatch_.reset();
+    if (h2o_timeout_is_linked(&aExchange.watchDelay_.entry_)) {
+      h2o_timeout_unlink(&aExchange.watchDelay_.entry_);
     }
-    exchange.body_ = aResponse.body_ ? aResponse.body_ : MakeBody("");
-    auto* request = exchange.request_;
+    aExchange.body_ = aResponse.body_ ? aResponse.body_ : MakeBody("");
+    auto* request = aExchange.request_;
     if (keepAliveDisabled_) {
       request->http1_is_persistent = 0;
     }
     request->res.status = aResponse.status_;
     request->res.reason = ReasonPhrase(aResponse.status_);
-    request->res.content_length = exchange.body_->size();
+    request->res.content_length = aExchange.body_->size();
     for (const auto& field : aResponse.headers_) {
       const auto name = h2o_strdup(&request->pool, field.name_.data(), field.name_.size());
       const auto value = h2o_strdup(&request->pool, field.value_.data(), field.value_.size());
@@ -234,17 +351,20 @@
                             value.base,
                             value.len);
     }
-    h2o_start_response(request, &exchange.generator_);
-    h2o_iovec_t buffer{ const_cast<char*>(exchange.body_->data()), exchange.body_->size() };
+    h2o_start_response(request, &aExchange.generator_);
+    h2o_iovec_t buffer{ const_cast<char*>(aExchange.body_->data()), aExchange.body_->size() };
     h2o_send(request, &buffer, 1, H2O_SEND_STATE_FINAL);
   }
 
   EventLoop& loop_;
   HttpHandlers handlers_;
+  HttpServerCounters counters_;
   h2o_globalconf_t config_{};
   h2o_context_t context_{};
   h2o_accept_ctx_t accept_{};
   h2o_timeout_t watchDelay_{};
+  h2o_timeout_t retryDelay_{};
+  AcceptPause acceptPause_;
   h2o_socket_t* listener_ = nullptr;
   bool keepAliveDisabled_ = false;
   ExchangeId nextId_ = 1;
@@ -273,6 +393,17 @@
   impl_->Respond(aId, aResponse);
 }
 
+bool
+HttpServer::HasClientClosed(ExchangeId aId) const
+{
+  const auto found = impl_->exchanges_.find(aId);
+  if (found == impl_->exchanges_.end()) {
+    return true;
+  }
+  const int fd = Impl::FindHttp1Connection(*found->second);
+  return fd >= 0 && impl::FindStreamState(fd) == impl::StreamState::Closed;
+}
+
 void
 HttpServer::StopAccepting()
 {
@@ -281,6 +412,9 @@
   }
   while (impl_->AcceptOne()) {
   }
+  if (h2o_timeout_is_linked(&impl_->acceptPause_.entry_)) {
+    h2o_timeout_unlink(&impl_->acceptPause_.entry_);
+  }
   h2o_socket_close(impl_->listener_);
   impl_->listener_ = nullptr;
   h2o_context_request_shutdown(&impl_->context_);
@@ -308,4 +442,10 @@
     }));
 }
 
+const HttpServerCounters&
+HttpServer::Counters() const noexcept
+{
+  return impl_->counters_;
+}
+
 } // namespace geraniumpin
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -4,6 +4,7 @@
 #include "../request/http_message.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,19 @@
 /// \brief Identifies a request that an HttpServer received.
 using ExchangeId = std::uint64_t;
 
+/// \brief Connections and requests of an HTTP server since its start.
+struct HttpServerCounters
+{
+  std::uint64_t acceptedConnections_ = 0;
+  std::uint64_t openConnections_ = 0;   ///< at present
+  std::uint64_t unusedConnections_ = 0; ///< closed before a whole request was read
+  std::uint64_t acceptFailures_ = 0;    ///< no descriptor or memory was left
+  std::uint64_t requests_ = 0;
+  std::uint64_t disconnects_ = 0; ///< the client closed its connection before the response
+
+  auto operator<=>(const HttpServerCounters&) const = default;
+};
+
 /// \brief Callbacks of an HTTP server.
 struct HttpHandlers
 {
@@ -44,6 +58,11 @@
   /// \brief Sends a response; does nothing if the client has disconnected.
   void Respond(ExchangeId aId, const HttpResponse& aResponse);
 
+  /// \brief Returns true if the client of a pending HTTP/1 request has closed its connection.
+  ///
+  /// A request can be read long after it was sent; the disconnect itself is reported later.
+  [[nodiscard]] bool HasClientClosed(ExchangeId aId) const;
+
   /// \brief Closes each connection after its next response.
   void DisableKeepAlive();
 
@@ -57,6 +76,8 @@
   /// client has disconnected and whose connection is still open.
   [[nodiscard]] std::size_t UnansweredRequests() const;
 
+  [[nodiscard]] const HttpServerCounters& Counters() const noexcept;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -129,7 +129,8 @@
                     const std::string& aPath,
                     const std::optional<Digest>& aKeyDigest) {
                return node_.Explain(aHost, aMethod, aPath, aKeyDigest);
-             } };
+             },
+             [this] { return callers_.Counters(); } };
   }
 
   int Drain()
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -45,6 +45,8 @@
   /// \brief Returns the number of requests that were read and not answered.
   [[nodiscard]] std::size_t UnansweredRequests() const { return server_.UnansweredRequests(); }
 
+  [[nodiscard]] const HttpServerCounters& Counters() const noexcept { return server_.Counters(); }
+
   /// \brief Accepts the connections in the backlog, then stops listening.
   void StopAccepting() { server_.StopAccepting(); }
 
