Log: loop_lag says how long ago its turn ended

One line a second names the longest turn since the last line, so the time of the line is not that of the turn.

--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -113,9 +113,10 @@
       return;
     }
     auto turn = std::exchange(turn_, {});
-    turn.duration_ = context_.Now() - std::exchange(turnStartedAt_, {});
+    turn.endedAt_ = context_.Now();
+    turn.duration_ = turn.endedAt_ - std::exchange(turnStartedAt_, {});
     context_.GetMetrics().Record("turn_ms", turn.duration_);
-    if (const auto longest = turnMonitor_.OnTurn(turn, context_.Now())) {
+    if (const auto longest = turnMonitor_.OnTurn(turn)) {
       WriteLoopLag(*longest);
     }
   }
@@ -274,17 +275,19 @@
 
   void WriteLoopLag(const LoopTurn& aTurn)
   {
-    context_.Write(
-      LogEvent("loop_lag")
-        .With("turn_us",
-              std::chrono::duration_cast<std::chrono::microseconds>(aTurn.duration_).count())
-        .With("calls", aTurn.calls_)
-        .With("messages", aTurn.messages_)
-        .With("backend_ends", aTurn.backendEnds_)
-        .With("platform_reads", aTurn.platformReads_)
-        .With("versions", aTurn.versions_)
-        .With("entry_calls", entry_.InFlight())
-        .With("owned_attempts", owner_.InFlight()));
+    const auto microseconds = [](Duration aTime) {
+      return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
+    };
+    context_.Write(LogEvent("loop_lag")
+                     .With("turn_us", microseconds(aTurn.duration_))
+                     .With("ended_us_ago", microseconds(context_.Now() - aTurn.endedAt_))
+                     .With("calls", aTurn.calls_)
+                     .With("messages", aTurn.messages_)
+                     .With("backend_ends", aTurn.backendEnds_)
+                     .With("platform_reads", aTurn.platformReads_)
+                     .With("versions", aTurn.versions_)
+                     .With("entry_calls", entry_.InFlight())
+                     .With("owned_attempts", owner_.InFlight()));
   }
 
   void OnSnapshot(const Snapshot& aSnapshot)
--- a/include/geraniumpin/process/turn_monitor.hpp
+++ b/include/geraniumpin/process/turn_monitor.hpp
@@ -14,6 +14,7 @@
 struct LoopTurn
 {
   Duration duration_{};
+  TimePoint endedAt_{};
   std::uint64_t calls_ = 0;       ///< requests of callers
   std::uint64_t messages_ = 0;    ///< from peers
   std::uint64_t backendEnds_ = 0; ///< attempts that ended at the backend server
@@ -32,15 +33,15 @@
   /// Time between two reports.
   static constexpr std::chrono::seconds kPeriod{ 1 };
 
-  /// \brief Records a turn that ended now.
+  /// \brief Records a turn that just ended.
   /// \returns The longest turn since the last report, if a report is due.
-  [[nodiscard]] std::optional<LoopTurn> OnTurn(const LoopTurn& aTurn, TimePoint aNow)
+  [[nodiscard]] std::optional<LoopTurn> OnTurn(const LoopTurn& aTurn)
   {
     longest_ = std::max(longest_, aTurn);
-    if (longest_.duration_ < kSlowTurn || aNow < nextReport_) {
+    if (longest_.duration_ < kSlowTurn || aTurn.endedAt_ < nextReport_) {
       return std::nullopt;
     }
-    nextReport_ = aNow + kPeriod;
+    nextReport_ = aTurn.endedAt_ + kPeriod;
     return std::exchange(longest_, {});
   }
 
