HttpClient: a stated length beyond the limit is broken at once

Seen: a backend server or platform that states a content-length beyond the limit, and sends the first bytes of the body together with the header, had the whole length reserved and every byte of the body held; with a length of 9e17 the process ended with std::bad_alloc. The result was Complete for a body of 1,048,577 bytes with a limit of 1,048,576. Cause: with eager(true), basic_parser::put of Beast 1.74 goes on to the body in the same call after finish_header has set error::body_limit, and overwrites the error. Change: the parser takes one step per call, so an error of the header is returned; Parse already calls until the input is consumed.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -405,7 +405,9 @@
   {
     aConnection.parser_.emplace();
     auto& parser = *aConnection.parser_;
-    parser.eager(true);
+    // Header and body are parsed in separate steps, since the body limit of Beast 1.74 has no
+    // effect on a body that begins in the same step.
+    parser.eager(false);
     parser.header_limit(impl::kMaxResponseHeaderBytes);
     parser.body_limit(limits_.maxBodyBytes_);
     parser.skip(aConnection.exchange_->isHead_);
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -3,7 +3,9 @@
 #include "geraniumpin/version/node_address.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <string>
@@ -70,6 +72,32 @@
                   static_cast<ssize_t>(aText.size()));
   }
 
+  /// \brief Writes as much as the socket takes.
+  /// \returns The number of bytes written; 0 if the socket takes none or the client has closed.
+  std::size_t WriteSome(const std::string& aText)
+  {
+    const auto sent = connection_ < 0 ? 0 : send(connection_, aText.data(), aText.size(), 0);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
+
+  /// \brief Limits the bytes that wait in the sender's socket, so that bytes written are nearly
+  /// those that the client has received.
+  void LimitSendBuffer(int aBytes)
+  {
+    BOOST_REQUIRE(setsockopt(connection_, SOL_SOCKET, SO_SNDBUF, &aBytes, sizeof aBytes) == 0);
+  }
+
+  /// \brief Reads what has arrived and returns true if the client has closed the connection.
+  [[nodiscard]] bool IsClosedByClient()
+  {
+    std::array<char, 65536> bytes{};
+    ssize_t received = 1;
+    while (received > 0) {
+      received = recv(connection_, bytes.data(), bytes.size(), 0);
+    }
+    return received == 0 || errno != EAGAIN;
+  }
+
   void CloseConnection()
   {
     if (connection_ >= 0) {
