HttpClient: chunk extensions, chunk sizes and trailers have a limit

Seen: a server that sends a chunk extension, a chunk size or trailers without end was read for as long as it sent, and an unfinished line was held whole. Cause: Beast limits the header and the body, but nothing between chunks or after the last one; it leaves an unfinished line or trailer section in the input buffer of h2o, which grows. Change: the bytes of a response besides its body are limited to 128 KB and 8 for each byte of the body, and what the parser waits for the rest of to 64 KB; beyond that the response is Broken and the connection closed. Chunks of one byte stay within that, which a test shows.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -25,6 +25,10 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+// Bytes of a response besides its body (header, chunk sizes and extensions, trailers): this many in
+// all, and this many for each byte of the body, which admits chunks of one byte.
+constexpr std::size_t kMaxFramingBytes = std::size_t{ 2 } * kMaxResponseHeaderBytes;
+constexpr std::size_t kMaxFramingPerBodyByte = 8;
 // A connection is no longer reused this long before the server's keep-alive timeout.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 1000 };
 // Unacknowledged bytes end a connection after this time, so that a dead link is detected.
@@ -99,6 +103,7 @@
     Body body_;
     std::optional<Exchange> exchange_;
     std::optional<Parser> parser_;
+    std::size_t parsedBytes_ = 0; ///< of the current response
     TimePoint idleUntil_;
   };
 
@@ -275,7 +280,13 @@
       const auto used =
         aConnection->parser_->put(boost::asio::buffer(input->bytes, input->size), error);
       h2o_buffer_consume(&input, used);
-      if (error == impl::http::error::need_more) {
+      aConnection->parsedBytes_ += used;
+      const bool needsMore = error == impl::http::error::need_more;
+      if (ExceedsFramingLimit(*aConnection, needsMore ? input->size : 0)) {
+        Fail(aConnection, HttpOutcome::Broken);
+        return;
+      }
+      if (needsMore) {
         return;
       }
       if (error) {
@@ -298,6 +309,16 @@
     }
   }
 
+  /// Returns true if a response has too many bytes besides its body, or too many that the parser
+  /// needs the rest of, such as an unfinished line or trailer section.
+  static bool ExceedsFramingLimit(const Connection& aConnection, std::size_t aIncompleteBytes)
+  {
+    const auto bodyBytes = aConnection.parser_->get().body().size();
+    const auto framingBytes = aConnection.parsedBytes_ + aIncompleteBytes - bodyBytes;
+    return aIncompleteBytes > impl::kMaxResponseHeaderBytes ||
+           framingBytes > impl::kMaxFramingBytes + impl::kMaxFramingPerBodyByte * bodyBytes;
+  }
+
   static bool IsInterim(const Connection& aConnection)
   {
     return aConnection.parser_->get().result_int() / 100 == 1;
@@ -404,6 +425,7 @@
   void ResetParser(Connection& aConnection)
   {
     aConnection.parser_.emplace();
+    aConnection.parsedBytes_ = 0;
     auto& parser = *aConnection.parser_;
     // Header and body are parsed in separate steps, since the body limit of Beast 1.74 has no
     // effect on a body that begins in the same step.
--- a/tests/connection/http_client_endless_test.cpp
+++ b/tests/connection/http_client_endless_test.cpp
@@ -196,6 +196,41 @@
   }
 }
 
+// Chunk extensions and trailers are no part of the body and had no limit; the client held a line or
+// a trailer section of any length.
+BOOST_AUTO_TEST_CASE(chunk_framing_without_end_is_broken_within_a_bound_in_bytes)
+{
+  for (const EndlessBytes& bytes :
+       { EndlessBytes{ "chunk extension", kChunkedHead + "1;", kLine, 2 * kMaxHeaderBytes },
+         EndlessBytes{
+           "chunk extensions", kChunkedHead, "1;" + kLine + "\r\nx\r\n", 2 * kMaxHeaderBytes },
+         EndlessBytes{ "chunk size", kChunkedHead, "0000000000", 2 * kMaxHeaderBytes },
+         EndlessBytes{ "trailer line", kChunkedHead + "0\r\nt: ", kLine, 2 * kMaxHeaderBytes },
+         EndlessBytes{
+           "trailers", kChunkedHead + "0\r\n", "t: " + kLine + "\r\n", 2 * kMaxHeaderBytes },
+         EndlessBytes{ "trailers after a body",
+                       kChunkedHead + "80000\r\n" + std::string(512 * kKilobyte, 'x') + "\r\n0\r\n",
+                       "t: " + kLine + "\r\n",
+                       2 * kMaxHeaderBytes + 512 * kKilobyte } }) {
+    ExpectBroken(bytes, kPieceBytes);
+    ExpectBroken(bytes, kBurstBytes);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_body_in_chunks_of_one_byte_is_complete, Fixture)
+{
+  const auto result = Send();
+  std::string chunks;
+  for (int i = 0; i < 10000; ++i) {
+    chunks += "1\r\nx\r\n";
+  }
+  server_.Write(kChunkedHead + chunks + "0\r\nt: 1\r\n\r\n");
+  RunLoop(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+  BOOST_TEST((*result)->response_.body_->size() == 10000U);
+}
+
 BOOST_FIXTURE_TEST_CASE(bytes_without_end_after_a_response_close_the_connection, Fixture)
 {
   const auto result = Send();
