HttpClient: an exchange discards a limited number of responses

Seen: a server that sends interim responses, or responses with the id of another request, without end was read until its exchange was cancelled. Cause: each of them resets the parser, and with it all its limits. Change: an exchange discards at most 16 responses, which together are as large as the largest response; beyond that it is Broken, so the outcome is unknown, and the connection is closed. The test allocates what it sends before it measures.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -29,6 +29,9 @@
 // all, and this many for each byte of the body, which admits chunks of one byte.
 constexpr std::size_t kMaxFramingBytes = std::size_t{ 2 } * kMaxResponseHeaderBytes;
 constexpr std::size_t kMaxFramingPerBodyByte = 8;
+// Interim responses and responses to other requests that one exchange discards; a server sends few
+// of them. All of them together may be as large as one response.
+constexpr std::size_t kMaxDiscardedResponses = 16;
 // A connection is no longer reused this long before the server's keep-alive timeout.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 1000 };
 // Unacknowledged bytes end a connection after this time, so that a dead link is detected.
@@ -89,6 +92,8 @@
     bool isHead_ = false;
     EchoedHeader echoedHeader_;
     Callback done_;
+    std::size_t discardedResponses_ = 0;
+    std::size_t discardedBytes_ = 0;
   };
 
   struct Connection
@@ -300,7 +305,10 @@
         continue;
       }
       if (IsInterim(*aConnection) || IsStaleResponse(*aConnection)) {
-        ResetParser(*aConnection);
+        if (!DiscardResponse(*aConnection)) {
+          Fail(aConnection, HttpOutcome::Broken);
+          return;
+        }
         continue;
       }
       aConnection->reusable_ = aConnection->reusable_ && input->size == 0;
@@ -319,6 +327,17 @@
            framingBytes > impl::kMaxFramingBytes + impl::kMaxFramingPerBodyByte * bodyBytes;
   }
 
+  /// Prepares for the next response. Returns false if too many responses have been discarded.
+  bool DiscardResponse(Connection& aConnection)
+  {
+    auto& exchange = *aConnection.exchange_;
+    exchange.discardedResponses_ += 1;
+    exchange.discardedBytes_ += aConnection.parsedBytes_;
+    ResetParser(aConnection);
+    return exchange.discardedResponses_ <= impl::kMaxDiscardedResponses &&
+           exchange.discardedBytes_ <= impl::kMaxFramingBytes + limits_.maxBodyBytes_;
+  }
+
   static bool IsInterim(const Connection& aConnection)
   {
     return aConnection.parser_->get().result_int() / 100 == 1;
--- a/tests/connection/http_client_endless_test.cpp
+++ b/tests/connection/http_client_endless_test.cpp
@@ -106,9 +106,10 @@
   template<class Condition>
   void Play(const EndlessBytes& aBytes, std::size_t aStepBytes, Condition aDone)
   {
-    const auto allocatedBefore = AllocatedBytes();
     const auto unit = RepeatTo(aStepBytes, aBytes.unit_);
     std::string pending = aBytes.start_;
+    pending.reserve(pending.size() + aStepBytes + unit.size());
+    const auto allocatedBefore = AllocatedBytes(); // with the bytes to send
     while (!aDone() && written_ < kEndlessBytes) {
       if (pending.size() < aStepBytes) {
         pending += unit;
@@ -217,6 +218,37 @@
   }
 }
 
+// Interim responses and responses to other requests are discarded; without a limit a server that
+// sends only these kept the exchange until its caller cancelled it.
+BOOST_AUTO_TEST_CASE(discarded_responses_without_end_are_broken_within_a_bound_in_bytes)
+{
+  for (const EndlessBytes& bytes :
+       { EndlessBytes{
+           "interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", kMaxResponseBytes },
+         EndlessBytes{ "small responses", "", AnswerTo("z", kLine), kMaxResponseBytes },
+         EndlessBytes{ "large responses",
+                       "",
+                       AnswerTo("z", std::string(kMaxBodyBytes, 'x')),
+                       2 * kMaxResponseBytes } }) {
+    ExpectBroken(bytes, kPieceBytes);
+    ExpectBroken(bytes, kBurstBytes);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(some_discarded_responses_do_not_end_an_exchange, Fixture)
+{
+  const auto result = Send();
+  std::string discarded;
+  for (int i = 0; i < 8; ++i) {
+    discarded += "HTTP/1.1 102 Processing\r\n\r\n" + AnswerTo("z", "not yours");
+  }
+  server_.Write(discarded + AnswerTo("a", "yours"));
+  RunLoop(5);
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+  BOOST_TEST(*(*result)->response_.body_ == "yours");
+}
+
 BOOST_FIXTURE_TEST_CASE(a_body_in_chunks_of_one_byte_is_complete, Fixture)
 {
   const auto result = Send();
