HttpClient: the rest of a request body is written for the idle timeout at most

Seen: after an early response a connection was kept for as long as its server read nothing, or a little at a time; its request body stayed in memory. Cause: the exchange has ended with the response, so nothing cancels, and the write itself has no timeout. Evidence: http_client_endless_test before the change: the server, which read nothing for twice the idle timeout (or 64 KB every tenth of it), then got all of the 32 MB: "2 failures are detected". Change: a timer closes the connection once the idle timeout has passed; a kept connection never gets other bytes where the rest of a body is due, as before.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -96,6 +96,15 @@
     std::size_t discardedBytes_ = 0;
   };
 
+  struct Connection;
+
+  /// A timer with a pointer to its connection; h2o passes its first member to the callback.
+  struct WriteTimer
+  {
+    h2o_timeout_entry_t entry_{};
+    Connection* connection_ = nullptr;
+  };
+
   struct Connection
   {
     Impl* owner_ = nullptr;
@@ -110,6 +119,7 @@
     std::optional<Parser> parser_;
     std::size_t parsedBytes_ = 0; ///< of the current response
     TimePoint idleUntil_;
+    WriteTimer writeTimer_; ///< runs while a request body is written after its response
   };
 
   Impl(EventLoop& aLoop, const HttpClientLimits& aLimits)
@@ -117,6 +127,8 @@
     , limits_(aLimits)
   {
     h2o_timeout_init(loop_.Native(), &zeroDelay_, 0);
+    h2o_timeout_init(
+      loop_.Native(), &writeTimeout_, static_cast<std::uint64_t>(limits_.idleTimeout_.count()));
     failureTimer_.owner_ = this;
     failureTimer_.entry_.cb = OnFailureTimer;
   }
@@ -207,6 +219,8 @@
     auto* connection = owned.get();
     connection->owner_ = this;
     connection->server_ = aServer;
+    connection->writeTimer_.connection_ = connection;
+    connection->writeTimer_.entry_.cb = OnWriteTimeout;
     connections_.emplace(connection, std::move(owned));
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -258,10 +272,17 @@
     connection->writing_ = false;
     connection->reusable_ = connection->reusable_ && aError == nullptr;
     if (!connection->exchange_) {
+      h2o_timeout_unlink(&connection->writeTimer_.entry_);
       connection->owner_->ReleaseConnection(connection);
     }
   }
 
+  static void OnWriteTimeout(h2o_timeout_entry_t* aEntry)
+  {
+    auto* connection = reinterpret_cast<WriteTimer*>(aEntry)->connection_;
+    connection->owner_->Close(connection);
+  }
+
   static void OnRead(h2o_socket_t* aSocket, const char* aError)
   {
     auto* connection = static_cast<Connection*>(aSocket->data);
@@ -374,7 +395,8 @@
     Fail(aConnection, HttpOutcome::Broken);
   }
 
-  /// Passes the response to the callback; the rest of an unfinished request body is still sent.
+  /// Passes the response to the callback; the rest of an unfinished request body is still sent, for
+  /// the idle timeout at most.
   void Complete(Connection* aConnection)
   {
     auto& response = aConnection->parser_->get();
@@ -396,7 +418,9 @@
                                             .headers_ = std::move(headers),
                                             .body_ = MakeBody(std::move(response.body())) } };
     const auto done = TakeExchange(*aConnection);
-    if (!aConnection->writing_) {
+    if (aConnection->writing_) {
+      h2o_timeout_link(loop_.Native(), &writeTimeout_, &aConnection->writeTimer_.entry_);
+    } else {
       ReleaseConnection(aConnection);
     }
     done(result);
@@ -435,6 +459,7 @@
   {
     auto& idle = idle_[aConnection->server_];
     idle.erase(std::remove(idle.begin(), idle.end(), aConnection), idle.end());
+    h2o_timeout_unlink(&aConnection->writeTimer_.entry_);
     if (aConnection->socket_ != nullptr) {
       h2o_socket_close(aConnection->socket_);
     }
@@ -462,6 +487,7 @@
   std::map<ClientExchangeId, Connection*> byExchange_;
   std::vector<ClientExchangeId> failedExchanges_; ///< exchanges whose socket could not be created
   h2o_timeout_t zeroDelay_{};
+  h2o_timeout_t writeTimeout_{};
   FailureTimer failureTimer_;
   ClientExchangeId nextId_ = 1;
 };
--- a/src/adapters/connection/http_client.hpp
+++ b/src/adapters/connection/http_client.hpp
@@ -40,6 +40,7 @@
 struct HttpClientLimits
 {
   /// Idle time after which a connection is not reused, unless the server states a shorter one.
+  /// Also the time for the rest of a request body whose response has arrived.
   const std::chrono::milliseconds idleTimeout_{};
   const std::size_t maxBodyBytes_ = 0; ///< a response with a larger body is Broken
 };
@@ -49,8 +50,9 @@
 /// It keeps connections open and reuses the one that was idle for the shortest time, for one
 /// request at a time. A response without the expected header field belongs to an earlier request
 /// and is discarded. Bytes after a response, or without a pending request, close the connection. A
-/// response without length is complete only if its connection ends without a reset. There is no
-/// timeout: the caller of Start cancels.
+/// response without length is complete only if its connection ends without a reset. A response that
+/// exceeds a limit in header, body or framing, or too many discarded responses, are Broken. An
+/// exchange has no timeout: the caller of Start cancels.
 ///
 /// \code
 /// client.Start(address, request, {}, [](const HttpResult& result) { ... });
--- a/tests/connection/http_client_endless_test.cpp
+++ b/tests/connection/http_client_endless_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/test/included/unit_test.hpp>
 #include <malloc.h>
+#include <utility>
 
 using namespace geraniumpin;
 using namespace geraniumpin::test;
@@ -84,6 +85,7 @@
     }
     BOOST_REQUIRE(received.find("id: a") != std::string::npos);
     server_.LimitSendBuffer(static_cast<int>(64 * kKilobyte));
+    received_ = received.size();
     return result;
   }
 
@@ -129,7 +131,8 @@
   ScriptedServer server_;
   HttpClient client_{ loop_, { kIdleTimeout, kMaxBodyBytes } };
   ClientExchangeId last_ = 0;
-  std::size_t written_ = 0;
+  std::size_t received_ = 0;  ///< by the server
+  std::size_t written_ = 0;   ///< by the server
   std::size_t peakBytes_ = 0; ///< most memory that the client had allocated, as seen after a turn
 };
 
@@ -302,6 +305,31 @@
   BOOST_TEST(written_ <= kSocketBytes);
 }
 
+// After an early response the rest of the request body kept its connection for as long as the
+// server read nothing, or a little at a time.
+BOOST_AUTO_TEST_CASE(the_write_after_an_early_response_is_bounded_in_time)
+{
+  constexpr std::size_t kRequestBytes = 32U << 20U;
+  for (const bool reads : { false, true }) {
+    Fixture fixture;
+    const auto result = fixture.Send(std::string(kRequestBytes, 'x'));
+    fixture.server_.Write(AnswerTo("a", "enough"));
+    auto received = fixture.received_;
+    for (int i = 0; i < 20; ++i) {
+      fixture.RunLoopFor(kIdleTimeout / 10);
+      received += reads ? fixture.server_.Read().size() : 0;
+    }
+    BOOST_REQUIRE(result->has_value());
+    BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+    for (int i = 0; i < 2000 && received < kRequestBytes; ++i) {
+      received += fixture.server_.Read().size();
+      fixture.RunLoop();
+    }
+    BOOST_TEST(received < kRequestBytes, (reads ? "slow reader" : "no reader"));
+    BOOST_TEST(fixture.server_.IsClosedByClient());
+  }
+}
+
 // A request that the server does not read ends with its exchange.
 BOOST_FIXTURE_TEST_CASE(a_cancelled_exchange_ends_a_write_that_does_not_complete, Fixture)
 {
@@ -310,7 +338,7 @@
   RunLoop(10);
   client_.Cancel(last_);
   RunLoop(3);
-  std::size_t received = 0;
+  auto received = received_;
   for (int i = 0; i < 2000; ++i) {
     received += server_.Read().size();
     RunLoop();
