ZmqPeerTransport: a turn of the loop receives a limited number of messages

Seen: a peer that sends faster than its messages are handled held the loop, with messages that are refused even without one delivery; a batch of 256 messages had no limit in bytes (256 of 64 MB). Cause: ReceiveAll went on while there was input, and ReceiveOne while messages were refused. Evidence: peer_transport_test, new, before the change: 800 messages in one turn, "check most <= kMaxTurnMessages has failed [800 > 256]" for delivered and for refused ones. A trial with a zero-delay timer of h2o did not help: h2o runs a timer that is linked again in the same turn. Change: a turn receives 256 messages or 4 MB; an eventfd of our own continues in the next turn. Cancellations are still delivered first within a turn. Further parts of a refused message count as messages of the turn. Left: ZeroMQ hands over a message only when its last part has arrived and holds the parts until then, without a limit.

--- a/src/adapters/connection/peer_transport.cpp
+++ b/src/adapters/connection/peer_transport.cpp
@@ -4,7 +4,8 @@
 
 #include <glog/logging.h>
 #include <map>
-#include <optional>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <vector>
 #include <zmq.hpp>
 
@@ -19,7 +20,10 @@
 constexpr int kMaxReconnectMs = 1000;
 constexpr std::chrono::seconds kLinkIdleTimeout{ 60 }; // after which a link is closed
 constexpr std::chrono::seconds kSweepPeriod{ 10 };
-constexpr std::size_t kMaxBatchMessages = 256; // messages received before a delivery
+// Messages, further parts of a refused message, and bytes that one turn of the loop receives, so
+// that peers cannot hold the loop.
+constexpr std::size_t kMaxTurnMessages = 256;
+constexpr std::size_t kMaxTurnBytes = 4U << 20U;
 
 std::string_view
 View(const zmq::message_t& aMessage)
@@ -59,23 +63,36 @@
                  << "\"";
     }
     watch_ =
-      std::make_unique<FdWatch>(aLoop, inbound_.get(zmq::sockopt::fd), [this] { ReceiveAll(); });
+      std::make_unique<FdWatch>(aLoop, inbound_.get(zmq::sockopt::fd), [this] { ReceiveTurn(); });
+    PCHECK(nextTurn_ >= 0) << "event=eventfd_failed";
+    nextTurnWatch_ = std::make_unique<FdWatch>(aLoop, nextTurn_, [this] { ContinueReceiving(); });
   }
 
-  /// ZeroMQ's descriptor is edge-triggered, so messages are received until none is left.
-  void ReceiveAll()
+  ~Impl() { close(nextTurn_); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  /// ZeroMQ's descriptor is edge-triggered, so an event of our own continues if messages are left.
+  void ReceiveTurn()
   {
-    while ((inbound_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
-      std::vector<Envelope> batch;
-      while (batch.size() < impl::kMaxBatchMessages) {
-        auto envelope = ReceiveOne();
-        if (!envelope) {
-          break;
-        }
-        batch.push_back(std::move(*envelope));
+    std::vector<Envelope> batch;
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < impl::kMaxTurnMessages && bytes < impl::kMaxTurnBytes; ++i) {
+      if (!(discardsRest_ ? DiscardPart() : ReceiveOne(batch, bytes))) {
+        break;
       }
-      Deliver(batch);
     }
+    Deliver(batch);
+    if ((inbound_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+      eventfd_write(nextTurn_, 1);
+    }
+  }
+
+  void ContinueReceiving()
+  {
+    eventfd_t count = 0;
+    eventfd_read(nextTurn_, &count);
+    ReceiveTurn();
   }
 
   /// Delivers cancellations first, so that a process that resumes after a pause does not start
@@ -97,35 +114,37 @@
     }
   }
 
-  std::optional<Envelope> ReceiveOne()
+  /// Receives a message; one that is not authentic is counted and dropped.
+  /// Returns false if there is none.
+  bool ReceiveOne(std::vector<Envelope>& aBatch, std::size_t& aBytes)
   {
     zmq::message_t body;
-    while (inbound_.recv(body, zmq::recv_flags::dontwait)) {
-      zmq::message_t tag;
-      const bool hasTag = body.more() && inbound_.recv(tag, zmq::recv_flags::dontwait).has_value();
-      const bool complete = hasTag && !tag.more();
-      DiscardRest(hasTag ? tag.more() : body.more());
-      counters_.receivedMessages_ += 1;
-      counters_.receivedBytes_ += body.size() + tag.size();
-      if (complete && IsAuthentic(impl::View(body), impl::View(tag), peerKey_)) {
-        if (auto envelope = DecodeEnvelope(impl::View(body))) {
-          return envelope;
-        }
+    if (!inbound_.recv(body, zmq::recv_flags::dontwait)) {
+      return false;
+    }
+    zmq::message_t tag;
+    const bool hasTag = body.more() && inbound_.recv(tag, zmq::recv_flags::dontwait).has_value();
+    discardsRest_ = hasTag ? tag.more() : body.more();
+    counters_.receivedMessages_ += 1;
+    counters_.receivedBytes_ += body.size() + tag.size();
+    aBytes += body.size() + tag.size();
+    if (hasTag && !discardsRest_ && IsAuthentic(impl::View(body), impl::View(tag), peerKey_)) {
+      if (auto envelope = DecodeEnvelope(impl::View(body))) {
+        aBatch.push_back(std::move(*envelope));
+        return true;
       }
-      counters_.refusedMessages_ += 1;
     }
-    return std::nullopt;
+    counters_.refusedMessages_ += 1;
+    return true;
   }
 
-  void DiscardRest(bool aMore)
+  /// Discards a further part of a refused message. Returns false if there is none.
+  bool DiscardPart()
   {
-    while (aMore) {
-      zmq::message_t rest;
-      if (!inbound_.recv(rest, zmq::recv_flags::dontwait)) {
-        return;
-      }
-      aMore = rest.more();
-    }
+    zmq::message_t part;
+    const bool received = inbound_.recv(part, zmq::recv_flags::dontwait).has_value();
+    discardsRest_ = received && part.more();
+    return received;
   }
 
   void Send(const NodeAddress& aPeer, const Envelope& aMessage)
@@ -183,6 +202,9 @@
   std::unique_ptr<FdWatch> watch_;
   TransportCounters counters_;
   TimePoint nextSweep_;
+  bool discardsRest_ = false; ///< the last message has further parts
+  int nextTurn_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  std::unique_ptr<FdWatch> nextTurnWatch_;
 };
 
 ZmqPeerTransport::ZmqPeerTransport(EventLoop& aLoop,
