PlatformReader: a listing without end is a failed read

Seen: a platform whose pages repeat, or go on without end, was read page after page without a pause; the items of endless pages were all kept. Cause: a page that says that more follow was followed at once, whatever its keys; nothing limited a listing, and each page counted as a success, so the backoff started anew. Change: a page that ends with a key listed before, or a listing of more than 50,000 items or 64 MB, is a failed read; items that only this listing added are dropped. The backoff is reset when a listing is complete. Tests: FakeMesh::makePage_ makes the pages of a listing.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace geraniumpin {
 
@@ -50,6 +51,11 @@
   /// Grace period in which expired instances can be published again.
   static constexpr std::chrono::milliseconds kExpiryGrace{ 2000 };
 
+  /// Maximum number of items of a listing: over twice the instances of the target size.
+  static constexpr std::size_t kMaxListedItems = 50'000;
+  /// Maximum number of bytes in the keys and values of a listing.
+  static constexpr std::size_t kMaxListedBytes = 64U << 20U;
+
   PlatformReader(NodeContext<PortSet>& aContext, ConfigService<PortSet>& aConfig)
     : context_(aContext)
     , config_(aConfig)
@@ -153,14 +159,16 @@
     }
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
-    backoff_ = backoff_.AfterSuccess();
-    backupBackoff_ = backupBackoff_.AfterSuccess();
     nextRead_ = now + kMinReadInterval;
     if (listing_) {
       ApplyPage(aRead);
     } else {
       ApplyChanges(aRead);
     }
+    if (!listing_) { // a page of a listing that may fail is no success yet
+      backoff_ = backoff_.AfterSuccess();
+      backupBackoff_ = backupBackoff_.AfterSuccess();
+    }
   }
 
   void ApplyPage(const ItemsRead& aRead)
@@ -169,10 +177,19 @@
     if (!listing.revision_) {
       listing.revision_ = aRead.revision_;
     }
+    const bool isRepeated =
+      aRead.hasMore_ && !aRead.items_.empty() && listing.keys_.contains(aRead.items_.back().key_);
     for (const auto& item : aRead.items_) {
-      listing.keys_.insert(item.key_);
+      listing.bytes_ += item.key_.size() + (item.value_ ? item.value_->size() : 0);
+      if (listing.keys_.insert(item.key_).second && assembly_.Find(item.key_) == nullptr) {
+        listing.addedKeys_.push_back(item.key_);
+      }
       ApplyItem(item);
     }
+    if (isRepeated || listing.keys_.size() > kMaxListedItems || listing.bytes_ > kMaxListedBytes) {
+      AbandonListing();
+      return;
+    }
     if (aRead.hasMore_ && !aRead.items_.empty()) {
       listing.afterKey_ = aRead.items_.back().key_;
       nextRead_ = context_.Now();
@@ -189,6 +206,16 @@
     Publish();
   }
 
+  /// Ends a listing that has no end, without the items that only it has added.
+  void AbandonListing()
+  {
+    for (const auto& key : listing_->addedKeys_) {
+      assembly_.Erase(key);
+    }
+    BeginListing();
+    OnReadFailed("listing without end");
+  }
+
   void ApplyChanges(const ItemsRead& aRead)
   {
     if (aRead.revision_ < revision_) {
@@ -349,6 +376,8 @@
     std::string afterKey_;
     std::optional<std::uint64_t> revision_; ///< of the first page
     std::set<std::string> keys_;
+    std::vector<std::string> addedKeys_; ///< of items that were unknown before
+    std::size_t bytes_ = 0;
   };
 
   NodeContext<PortSet>& context_;
--- a/tests/process/convergence_test.cpp
+++ b/tests/process/convergence_test.cpp
@@ -155,6 +155,44 @@
   ExpectVersion(mesh, nodes, 2);
 }
 
+// A listing whose pages repeat, or never end, was read without a pause for as long as it went on.
+BOOST_AUTO_TEST_CASE(a_listing_without_end_is_a_failed_read)
+{
+  int pages = 0;
+  const auto makeRepeatedPage = [&](const std::string& /*aAfterKey*/) {
+    return ItemsRead{ .result_ = ReadResult::Complete,
+                      .items_ = { { "other/1", "{}" } },
+                      .hasMore_ = true,
+                      .revision_ = 1 };
+  };
+  const auto makeNextPage = [&](const std::string& /*aAfterKey*/) {
+    ++pages;
+    ItemsRead page{ .result_ = ReadResult::Complete, .hasMore_ = true, .revision_ = 1 };
+    for (int i = 0; i < 500; ++i) {
+      page.items_.push_back({ "other/" + std::to_string(1'000'000 + pages * 500 + i), "{}" });
+    }
+    return page;
+  };
+  const std::vector<std::function<ItemsRead(const std::string&)>> responses{ makeRepeatedPage,
+                                                                             makeNextPage };
+  for (const auto& response : responses) {
+    FakeMesh mesh(8);
+    const DocumentOptions shape{ .domains_ = 1, .nodesPerDomain_ = 1 };
+    mesh.makePage_ = response;
+    const auto nodes = StartAll(mesh, shape);
+    mesh.Run(std::chrono::seconds(4));
+    // A listing is abandoned after 100 pages of 500 items, with a pause of up to 1 s after it.
+    BOOST_TEST(mesh.platformReads_[nodes.front()] < 1500U);
+    const auto& log = mesh.GetLog(nodes.front());
+    BOOST_TEST(std::any_of(log.begin(), log.end(), [](const std::string& aLine) {
+      return aLine.find("platform_lost") != std::string::npos;
+    }));
+    mesh.makePage_ = nullptr;
+    mesh.Run(kTarget);
+    ExpectVersion(mesh, nodes, 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_isolated_failure_domain_keeps_serving_and_catches_up)
 {
   FakeMesh mesh(6);
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -232,6 +232,9 @@
     return static_cast<std::size_t>(runs_.count(aId));
   }
 
+  /// \brief Returns how many attempts nodes have cancelled at their backend servers.
+  [[nodiscard]] std::size_t CountCancelled() const { return cancelled_.size(); }
+
   FakeClock clock_;
   std::mt19937_64 random_;
   LinkFaults faults_;
@@ -242,6 +245,9 @@
   /// Whether the platform fails for a node; may be empty.
   std::function<bool(const NodeAddress&)> isPlatformUnreachable_;
   std::map<NodeAddress, std::size_t> platformReads_;
+  /// Makes the response to a read of all items after a key, in place of the published items; may be
+  /// empty.
+  std::function<ItemsRead(const std::string&)> makePage_;
   Duration serviceTime_ = milliseconds(5);
   std::map<CallId, Answer> answers_;
   std::multimap<CallId, TimePoint> runs_;
@@ -390,9 +396,19 @@
 }
 
 inline void
-FakePorts::ReadItems(const std::string& /*aAfterKey*/)
+FakePorts::ReadItems(const std::string& aAfterKey)
 {
-  mesh_.AnswerRead(*this, ++read_, true);
+  if (!mesh_.makePage_) {
+    mesh_.AnswerRead(*this, ++read_, true);
+    return;
+  }
+  ++mesh_.platformReads_[self_];
+  const auto page = mesh_.makePage_(aAfterKey);
+  mesh_.At(milliseconds(1), [this, page, read = ++read_] {
+    if (read == read_) {
+      mesh_.DeliverToIncarnation(*this, [page](auto& aNode) { aNode.OnItemsRead(page); });
+    }
+  });
 }
 
 /// A watch completes at once if the revision differs, otherwise after 100 ms, then with items only
