--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -367,6 +367,32 @@
   BOOST_TEST(limit() < warm);
 }
 
+// A trickle of bytes keeps a response open: only the deadline ends the exchange with the server.
+BOOST_AUTO_TEST_CASE(a_response_without_end_is_cancelled_at_its_deadline_and_counts_as_failed)
+{
+  FakeMesh mesh(7);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto node = NodeAt(1, 1);
+  for (int i = 0; i < 60; ++i) {
+    for (int together = 0; together < 3; ++together) {
+      mesh.Call(node, "small");
+    }
+    mesh.Run(milliseconds(50));
+  }
+  const auto limit = [&] { return mesh.At(node).Status().concurrencyLimit_; };
+  const auto warm = limit();
+  BOOST_REQUIRE(warm > 2);
+  BOOST_REQUIRE(mesh.CountCancelled() == 0U);
+  mesh.serviceTime_ = std::chrono::hours(1);
+  const auto id = mesh.Call(node, "small");
+  mesh.Run(std::chrono::seconds(5));
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Unknown));
+  BOOST_TEST(mesh.CountRuns(id) == 1U);
+  BOOST_TEST(mesh.CountCancelled() == 1U);
+  BOOST_TEST(limit() < warm);
+}
+
 // Load pattern "held up link": the deadline of the caller passes while its request is on the way.
 BOOST_AUTO_TEST_CASE(a_request_delayed_beyond_its_deadline_does_not_run)
 {
