--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -25,6 +25,13 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+// Bytes of a response besides its body (header, chunk sizes and extensions, trailers): this many in
+// all, and this many for each byte of the body, which admits chunks of one byte.
+constexpr std::size_t kMaxFramingBytes = std::size_t{ 2 } * kMaxResponseHeaderBytes;
+constexpr std::size_t kMaxFramingPerBodyByte = 8;
+// Interim responses and responses to other requests that one exchange discards; a server sends few
+// of them. All of them together may be as large as one response.
+constexpr std::size_t kMaxDiscardedResponses = 16;
 // A connection is no longer reused this long before the server's keep-alive timeout.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 1000 };
 // Unacknowledged bytes end a connection after this time, so that a dead link is detected.
@@ -85,6 +92,17 @@
     bool isHead_ = false;
     EchoedHeader echoedHeader_;
     Callback done_;
+    std::size_t discardedResponses_ = 0;
+    std::size_t discardedBytes_ = 0;
+  };
+
+  struct Connection;
+
+  /// A timer with a pointer to its connection; h2o passes its first member to the callback.
+  struct WriteTimer
+  {
+    h2o_timeout_entry_t entry_{};
+    Connection* connection_ = nullptr;
   };
 
   struct Connection
@@ -99,7 +117,9 @@
     Body body_;
     std::optional<Exchange> exchange_;
     std::optional<Parser> parser_;
+    std::size_t parsedBytes_ = 0; ///< of the current response
     TimePoint idleUntil_;
+    WriteTimer writeTimer_; ///< runs while a request body is written after its response
   };
 
   Impl(EventLoop& aLoop, const HttpClientLimits& aLimits)
@@ -107,6 +127,8 @@
     , limits_(aLimits)
   {
     h2o_timeout_init(loop_.Native(), &zeroDelay_, 0);
+    h2o_timeout_init(
+      loop_.Native(), &writeTimeout_, static_cast<std::uint64_t>(limits_.idleTimeout_.count()));
     failureTimer_.owner_ = this;
     failureTimer_.entry_.cb = OnFailureTimer;
   }
@@ -197,6 +219,8 @@
     auto* connection = owned.get();
     connection->owner_ = this;
     connection->server_ = aServer;
+    connection->writeTimer_.connection_ = connection;
+    connection->writeTimer_.entry_.cb = OnWriteTimeout;
     connections_.emplace(connection, std::move(owned));
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -248,10 +272,17 @@
     connection->writing_ = false;
     connection->reusable_ = connection->reusable_ && aError == nullptr;
     if (!connection->exchange_) {
+      h2o_timeout_unlink(&connection->writeTimer_.entry_);
       connection->owner_->ReleaseConnection(connection);
     }
   }
 
+  static void OnWriteTimeout(h2o_timeout_entry_t* aEntry)
+  {
+    auto* connection = reinterpret_cast<WriteTimer*>(aEntry)->connection_;
+    connection->owner_->Close(connection);
+  }
+
   static void OnRead(h2o_socket_t* aSocket, const char* aError)
   {
     auto* connection = static_cast<Connection*>(aSocket->data);
@@ -275,7 +306,13 @@
       const auto used =
         aConnection->parser_->put(boost::asio::buffer(input->bytes, input->size), error);
       h2o_buffer_consume(&input, used);
-      if (error == impl::http::error::need_more) {
+      aConnection->parsedBytes_ += used;
+      const bool needsMore = error == impl::http::error::need_more;
+      if (ExceedsFramingLimit(*aConnection, needsMore ? input->size : 0)) {
+        Fail(aConnection, HttpOutcome::Broken);
+        return;
+      }
+      if (needsMore) {
         return;
       }
       if (error) {
@@ -289,7 +326,10 @@
         continue;
       }
       if (IsInterim(*aConnection) || IsStaleResponse(*aConnection)) {
-        ResetParser(*aConnection);
+        if (!DiscardResponse(*aConnection)) {
+          Fail(aConnection, HttpOutcome::Broken);
+          return;
+        }
         continue;
       }
       aConnection->reusable_ = aConnection->reusable_ && input->size == 0;
@@ -298,6 +338,27 @@
     }
   }
 
+  /// Returns true if a response has too many bytes besides its body, or too many that the parser
+  /// needs the rest of, such as an unfinished line or trailer section.
+  static bool ExceedsFramingLimit(const Connection& aConnection, std::size_t aIncompleteBytes)
+  {
+    const auto bodyBytes = aConnection.parser_->get().body().size();
+    const auto framingBytes = aConnection.parsedBytes_ + aIncompleteBytes - bodyBytes;
+    return aIncompleteBytes > impl::kMaxResponseHeaderBytes ||
+           framingBytes > impl::kMaxFramingBytes + impl::kMaxFramingPerBodyByte * bodyBytes;
+  }
+
+  /// Prepares for the next response. Returns false if too many responses have been discarded.
+  bool DiscardResponse(Connection& aConnection)
+  {
+    auto& exchange = *aConnection.exchange_;
+    exchange.discardedResponses_ += 1;
+    exchange.discardedBytes_ += aConnection.parsedBytes_;
+    ResetParser(aConnection);
+    return exchange.discardedResponses_ <= impl::kMaxDiscardedResponses &&
+           exchange.discardedBytes_ <= impl::kMaxFramingBytes + limits_.maxBodyBytes_;
+  }
+
   static bool IsInterim(const Connection& aConnection)
   {
     return aConnection.parser_->get().result_int() / 100 == 1;
@@ -334,7 +395,8 @@
     Fail(aConnection, HttpOutcome::Broken);
   }
 
-  /// Passes the response to the callback; the rest of an unfinished request body is still sent.
+  /// Passes the response to the callback; the rest of an unfinished request body is still sent, for
+  /// the idle timeout at most.
   void Complete(Connection* aConnection)
   {
     auto& response = aConnection->parser_->get();
@@ -356,7 +418,9 @@
                                             .headers_ = std::move(headers),
                                             .body_ = MakeBody(std::move(response.body())) } };
     const auto done = TakeExchange(*aConnection);
-    if (!aConnection->writing_) {
+    if (aConnection->writing_) {
+      h2o_timeout_link(loop_.Native(), &writeTimeout_, &aConnection->writeTimer_.entry_);
+    } else {
       ReleaseConnection(aConnection);
     }
     done(result);
@@ -395,6 +459,7 @@
   {
     auto& idle = idle_[aConnection->server_];
     idle.erase(std::remove(idle.begin(), idle.end(), aConnection), idle.end());
+    h2o_timeout_unlink(&aConnection->writeTimer_.entry_);
     if (aConnection->socket_ != nullptr) {
       h2o_socket_close(aConnection->socket_);
     }
@@ -404,8 +469,11 @@
   void ResetParser(Connection& aConnection)
   {
     aConnection.parser_.emplace();
+    aConnection.parsedBytes_ = 0;
     auto& parser = *aConnection.parser_;
-    parser.eager(true);
+    // Header and body are parsed in separate steps, since the body limit of Beast 1.74 has no
+    // effect on a body that begins in the same step.
+    parser.eager(false);
     parser.header_limit(impl::kMaxResponseHeaderBytes);
     parser.body_limit(limits_.maxBodyBytes_);
     parser.skip(aConnection.exchange_->isHead_);
@@ -419,6 +487,7 @@
   std::map<ClientExchangeId, Connection*> byExchange_;
   std::vector<ClientExchangeId> failedExchanges_; ///< exchanges whose socket could not be created
   h2o_timeout_t zeroDelay_{};
+  h2o_timeout_t writeTimeout_{};
   FailureTimer failureTimer_;
   ClientExchangeId nextId_ = 1;
 };
