The last response is whole although its caller has sent more

Seen: a caller that had sent its next request, or a stray line break, and then got the last response of its connection (Connection: close, as in a planned stop) received 128,000 of 3,145,728 bytes and a reset. Cause: h2o 2.2 closes without lingering, and the kernel answers a close with unread bytes by a reset and drops what it has not sent. The unread bytes, up to 64 KB, are now read away just before h2o closes. Bytes that arrive after the close still cause a reset. Failed before: the_last_response_is_whole_behind_unread_bytes (128000 of 3145728), build/tests/http_server_test.

--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <glog/logging.h>
 #include <h2o.h>
@@ -18,6 +19,7 @@
 constexpr int kMaxAcceptsPerEvent = 16; // leaves time for the requests of open connections
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
 constexpr int kBadGateway = 502;
+constexpr int kMaxDiscards = 16;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
@@ -82,6 +84,17 @@
                                                          : StreamState::Unread;
 }
 
+/// Reads away what a client has sent behind its last request: the kernel resets a connection that
+/// is closed with unread bytes and drops the rest of the response.
+void
+DiscardUnread(int aFd)
+{
+  std::array<char, 4096> buffer{};
+  for (int i = 0; i < kMaxDiscards && recv(aFd, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0;
+       ++i) {
+  }
+}
+
 } // namespace
 } // namespace impl
 
@@ -298,6 +311,10 @@
     if (h2o_timeout_is_linked(&exchange->watchDelay_.entry_)) {
       h2o_timeout_unlink(&exchange->watchDelay_.entry_);
     }
+    const int fd = FindHttp1Connection(*exchange);
+    if (fd >= 0 && exchange->request_->http1_is_persistent == 0) {
+      impl::DiscardUnread(fd); // h2o closes the connection next
+    }
     server->exchanges_.erase(exchange->id_);
     if (!exchange->responded_) {
       ++server->counters_.disconnects_;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -336,3 +336,26 @@
   RunLoop(milliseconds(20));
   BOOST_TEST(second.Read().ends_with("answer"));
 }
+
+// Guards against a last response that is cut by a reset, since the client had sent more bytes.
+BOOST_FIXTURE_TEST_CASE(the_last_response_is_whole_behind_unread_bytes, Fixture)
+{
+  ScriptedClient client(address_);
+  client.Write(Post("/1", "one"));
+  AwaitRequests(1);
+  client.Write(Post("/2", "two"));
+  RunLoop(kWatchTime);
+  server_.DisableKeepAlive();
+  const std::string body(3U << 20U, 'x');
+  Respond(0, body);
+  std::string response;
+  const auto end = clock_.Now() + milliseconds(2000);
+  while (response.size() < body.size() && clock_.Now() < end) {
+    RunLoop(milliseconds(1));
+    response += client.Read();
+  }
+  BOOST_TEST(response.size() > body.size());
+  BOOST_TEST(response.ends_with("xxx"));
+  RunLoop(milliseconds(20));
+  BOOST_TEST(client.IsClosedByServer());
+}
