--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -449,6 +449,7 @@
   BOOST_TEST(mesh.At(NodeAt(1, 1)).GetMetrics().Counters().at("calls_abandoned") == 1U);
   call(2, false);
   BOOST_TEST((mesh.answers_.at({ 77, 2 }).outcome_ == Outcome::Answered));
+}
 
 // A trickle of bytes keeps a response open: only the deadline ends the exchange with the server.
 BOOST_AUTO_TEST_CASE(a_response_without_end_is_cancelled_at_its_deadline_and_counts_as_failed)
