Soak: delayed links, request ids of clients, failures counted by rule

Change: the tag of a request is also its id, and the echo of the id is checked; the fake backend server repeats the id, as nodes require; the relay delays bytes; a failure says how long after SIGTERM it was.

--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -358,6 +358,12 @@
         path = "/reset?from=" .. first .. "&to=" .. second }
 end
 
+-- Delays the bytes of the connections from the first to the second group of addresses; 0 ends it.
+function Mesh:set_delay(first, second, ms)
+  http{ address = "127." .. self.base .. ".0.1:8600",
+        path = "/delay?from=" .. first .. "&to=" .. second .. "&ms=" .. ms }
+end
+
 -- Returns the address prefix of a failure domain, for set_partition.
 function Mesh:address_prefix(domain)
   return "127." .. (self.base + domain) .. "."
--- a/tests/scenarios/scenario_soak.lua
+++ b/tests/scenarios/scenario_soak.lua
@@ -52,4 +52,4 @@
   end
 end
 check(answered > 0.5 * total, "only " .. answered .. " of " .. total .. " were answered")
-check(#soak.failures == 0, #soak.failures .. " failures, the first: " .. (soak.failures[1] or ""))
+check(#soak.failures == 0, soak:summary())
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -14,7 +14,7 @@
 -- Kinds of faults with their weights. A stop, a reload and new versions are planned.
 local WEIGHTS = {
   { "stop", 6 }, { "stops", 2 }, { "reload", 3 }, { "versions", 3 }, { "evacuate", 1 },
-  { "kill", 2 }, { "pause", 2 }, { "cut", 1 }, { "reset", 1 }, { "platform", 2 },
+  { "kill", 2 }, { "pause", 2 }, { "cut", 1 }, { "reset", 1 }, { "delay", 1 }, { "platform", 2 },
   { "hang", 3 }, { "slow", 2 }, { "refuse", 2 }, { "kill_backend", 1 }, { "pause_backend", 2 },
 }
 
@@ -35,8 +35,8 @@
 -- options: steps, vms (of each failure domain)
 function new_soak(mesh, options)
   math.randomseed(SEED)
-  local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, evacuated = {},
-                              highest = {}, failures = {} }, Soak)
+  local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, stops = {},
+                              evacuated = {}, highest = {}, failures = {} }, Soak)
   local at = 2000
   for _ = 1, options.steps do
     at = at + math.random(100, 1100)
@@ -111,6 +111,7 @@
   end
   signal(vm.name, "TERM")
   vm.state, vm.stopped_at, vm.restart_ms = "stopping", now_ms(), step.restart_ms
+  table.insert(soak.stops, { vm = vm, at = vm.stopped_at })
 end
 
 -- Stops several nodes, one shortly after the other.
@@ -210,6 +211,18 @@
   soak.mesh:reset_connections(first.ip, second.ip)
 end
 
+-- Delays the traffic from a node to a failure domain.
+function faults.delay(soak, step)
+  local mesh, vm = soak.mesh, soak:vm_of(step)
+  local target = mesh:address_prefix(step.other_domain)
+  local ends_fault = soak:disturb(vm)
+  mesh:set_delay(vm.ip, target, 20 + step.number % 400)
+  soak:after(step.duration, function()
+    mesh:set_delay(vm.ip, target, 0)
+    ends_fault()
+  end)
+end
+
 function faults.platform(soak, step)
   local mode = ({ "down", "slow", "stale" })[step.number % 3 + 1]
   soak.platform_step = step
@@ -347,6 +360,17 @@
         counts.crossed .. ", answered over 500 ms after the timeout: " .. counts.late)
 end
 
+-- Returns when the node was stopped before a time, for messages.
+function Soak:describe_stop(vm, at)
+  local last
+  for _, stop in ipairs(self.stops) do
+    if stop.vm == vm and stop.at <= at then
+      last = stop.at
+    end
+  end
+  return last and at - last .. " ms after SIGTERM" or "no SIGTERM before"
+end
+
 function Soak:check_request(request, vm, runs, counts)
   local kind = request.kind
   local text = request.tag .. " at " .. vm.name .. ", sent " .. request.sent_ms .. ", ended " ..
@@ -361,7 +385,7 @@
     elseif #runs == 0 and lasted <= LOSS_SLACK_MS then
       counts.crossed = counts.crossed + 1
     else
-      self:fail("LOST " .. text)
+      self:fail("LOST " .. text .. ", " .. self:describe_stop(vm, request.end_ms))
     end
   elseif kind == "not_run" and #runs > 0 then
     self:fail("REFUSED " .. text)
@@ -382,6 +406,16 @@
   end
 end
 
+-- Returns the failures, counted by rule, and the first one.
+function Soak:summary()
+  local counts = {}
+  for _, message in ipairs(self.failures) do
+    local rule = message:match("^%S+") .. " " .. (message:match(" as (%S+)") or "")
+    counts[rule] = (counts[rule] or 0) + 1
+  end
+  return encode(counts) .. ", the first: " .. (self.failures[1] or "none")
+end
+
 -- After the faults a new version is in force, and each node answers callers again.
 function Soak:check_recovery()
   self.mesh:control("mode?mode=up")
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
 constexpr double kColdCapacityRatio = 0.25; // capacity of a cold server, relative to its slots
 constexpr double kShedRatio = 2;            // running requests per capacity, above which it refuses
+constexpr std::string_view kRequestId = "geraniumpin-request-id";
 
 struct Options
 {
@@ -87,8 +88,9 @@
     const auto running = static_cast<double>(running_.size()) + 1;
     if (ShouldRefuse(running, aRequest)) {
       ++shed_;
-      server_.Respond(aId,
-                      { .status_ = 503, .headers_ = { { "not-started", "true" } }, .body_ = {} });
+      HeaderFields headers{ { "not-started", "true" } };
+      AddRequestId(headers, aRequest);
+      server_.Respond(aId, { .status_ = 503, .headers_ = std::move(headers), .body_ = {} });
       return;
     }
     maxRunning_ = std::max(maxRunning_, running);
@@ -150,10 +152,19 @@
     LogRun("finished", request);
     const auto body =
       request.body_->empty() ? request.method_ + " " + request.path_ : *request.body_;
+    HeaderFields headers{ { "x-backend-server", options_.name_ } };
+    AddRequestId(headers, request);
     server_.Respond(aId,
-                    { .status_ = 200,
-                      .headers_ = { { "x-backend-server", options_.name_ } },
-                      .body_ = MakeBody(body) });
+                    { .status_ = 200, .headers_ = std::move(headers), .body_ = MakeBody(body) });
+  }
+
+  /// A node takes an answer without the id of its request for the answer of an earlier one.
+  static void AddRequestId(HeaderFields& aHeaders, const HttpRequest& aRequest)
+  {
+    const auto id = FindHeader(aRequest.headers_, kRequestId);
+    if (!id.empty()) {
+      aHeaders.push_back({ std::string(kRequestId), std::string(id) });
+    }
   }
 
   void OnDisconnect(ExchangeId aId)
--- a/tests/standins/clients.cpp
+++ b/tests/standins/clients.cpp
@@ -255,7 +255,8 @@
   {
     const auto& request = aClient.request_;
     std::string text = (request.isPost_ ? "POST " : "GET ") + MakePath(request) + " HTTP/1.1\r\n";
-    text += "host: " + aClient.target_.Text() + "\r\nx-tag: " + request.tag_ + "\r\n";
+    text += "host: " + aClient.target_.Text() + "\r\nx-tag: " + request.tag_ +
+            "\r\ngeraniumpin-request-id: " + request.tag_ + "\r\n";
     if (!options_.key_.empty()) {
       text += "x-api-key: " + options_.key_ + "\r\n";
     }
@@ -355,8 +356,10 @@
     const auto status = std::stoi(head.substr(kStatusOffset, 3));
     const auto body = aClient.input_.substr(headEnd + 4, total - headEnd - 4);
     auto kind = FindField(head, "geraniumpin-outcome");
-    if (kind == "answered" && body != ExpectedBody(aClient.request_)) {
-      kind = "wrong";
+    const auto& request = aClient.request_;
+    if (FindField(head, "geraniumpin-request-id") != request.tag_ ||
+        (kind == "answered" && body != ExpectedBody(request))) {
+      kind = kind.empty() ? "no_outcome" : "wrong";
     }
     if (aClient.input_.size() > total) {
       kind = "bytes_without_request";
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -2,7 +2,7 @@
 ///
 /// Each --link LISTEN=TARGET forwards connections. /cut and /heal start and end a partition between
 /// two groups of addresses: it stops the bytes in both directions and keeps the connections open.
-/// /reset resets the open connections between them.
+/// /reset resets the open connections between them, /delay holds back their bytes by a time.
 
 #include "../../src/adapters/connection/http_server.hpp"
 #include "../../src/adapters/process/line_log.hpp"
@@ -11,8 +11,10 @@
 
 #include <CLI/CLI.hpp>
 #include <arpa/inet.h>
+#include <deque>
 #include <glog/logging.h>
 #include <list>
+#include <map>
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,6 +30,7 @@
 {
   int from_ = -1;
   int to_ = -1;
+  std::deque<std::pair<TimePoint, std::string>> delayed_; ///< bytes and when to forward them
   std::string buffer_;
   bool ended_ = false;
 };
@@ -99,6 +102,15 @@
     ForwardAll();
   }
 
+  /// \brief Delays the bytes between two groups of addresses; zero ends the delay.
+  void SetDelay(const std::string& aSource, const std::string& aTarget, Duration aDelay)
+  {
+    delays_.erase({ aSource, aTarget });
+    if (aDelay > Duration{}) {
+      delays_.emplace(std::pair(aSource, aTarget), aDelay);
+    }
+  }
+
   /// \brief Resets the open connections from one group of addresses to another.
   void ResetConnections(const std::string& aSource, const std::string& aTarget)
   {
@@ -120,8 +132,9 @@
   {
     for (auto connection = connections_.begin(); connection != connections_.end();) {
       if (!IsPartitioned(*connection)) {
-        Forward(connection->clientToServer_);
-        Forward(connection->serverToClient_);
+        const auto delay = FindDelay(*connection);
+        Forward(connection->clientToServer_, delay);
+        Forward(connection->serverToClient_, delay);
       }
       const bool ended = connection->clientToServer_.ended_ || connection->serverToClient_.ended_;
       connection = ended ? Close(connection) : std::next(connection);
@@ -132,8 +145,8 @@
   [[nodiscard]] bool HasBacklog() const
   {
     return std::any_of(connections_.begin(), connections_.end(), [this](const auto& aConnection) {
-      return !IsPartitioned(aConnection) && (!aConnection.clientToServer_.buffer_.empty() ||
-                                             !aConnection.serverToClient_.buffer_.empty());
+      return !IsPartitioned(aConnection) &&
+             (HasBacklog(aConnection.clientToServer_) || HasBacklog(aConnection.serverToClient_));
     });
   }
 
@@ -191,19 +204,41 @@
             aConnection.listenAddress_.starts_with(aTarget));
   }
 
-  static void Forward(Pipe& aPipe)
+  [[nodiscard]] Duration FindDelay(const Connection& aConnection) const
+  {
+    for (const auto& [addresses, delay] : delays_) {
+      if (Matches(aConnection, addresses.first, addresses.second)) {
+        return delay;
+      }
+    }
+    return {};
+  }
+
+  static bool HasBacklog(const Pipe& aPipe)
+  {
+    return !aPipe.buffer_.empty() || !aPipe.delayed_.empty();
+  }
+
+  void Forward(Pipe& aPipe, Duration aDelay) const
   {
+    const auto now = clock_.Now();
     std::array<char, kChunkBytes> chunk{};
     while (aPipe.buffer_.size() < kChunkBytes) {
       const auto received = recv(aPipe.from_, chunk.data(), chunk.size(), MSG_DONTWAIT);
       if (received > 0) {
-        aPipe.buffer_.append(chunk.data(), static_cast<std::size_t>(received));
+        const auto size = static_cast<std::size_t>(received);
+        aPipe.delayed_.emplace_back(now + aDelay, std::string(chunk.data(), size));
+        if (aDelay > Duration{}) {
+          break;
+        }
+        MoveDueBytes(aPipe, now);
         continue;
       }
       const bool wouldBlock = received < 0 && (errno == EAGAIN || errno == ENOTCONN);
       aPipe.ended_ = !wouldBlock;
       break;
     }
+    MoveDueBytes(aPipe, now);
     const auto sent =
       send(aPipe.to_, aPipe.buffer_.data(), aPipe.buffer_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0) {
@@ -211,6 +246,14 @@
     }
   }
 
+  static void MoveDueBytes(Pipe& aPipe, TimePoint aNow)
+  {
+    while (!aPipe.delayed_.empty() && aPipe.delayed_.front().first <= aNow) {
+      aPipe.buffer_ += aPipe.delayed_.front().second;
+      aPipe.delayed_.pop_front();
+    }
+  }
+
   std::list<Connection>::iterator Close(std::list<Connection>::iterator aConnection)
   {
     aConnection->clientWatch_.reset();
@@ -221,9 +264,11 @@
   }
 
   EventLoop& loop_;
+  SystemClock clock_;
   std::vector<std::unique_ptr<FdWatch>> listeners_;
   std::list<Connection> connections_;
   std::set<std::pair<std::string, std::string>> partitions_;
+  std::map<std::pair<std::string, std::string>, Duration> delays_;
 };
 
 } // namespace
@@ -255,6 +300,9 @@
                    const auto target = QueryParameter(aRequest.path_, "to");
                    if (aRequest.path_.starts_with("/reset")) {
                      relay.ResetConnections(source, target);
+                   } else if (aRequest.path_.starts_with("/delay")) {
+                     const auto delay = std::stoi(QueryParameter(aRequest.path_, "ms"));
+                     relay.SetDelay(source, target, std::chrono::milliseconds(delay));
                    } else {
                      relay.SetPartition(source, target, aRequest.path_.starts_with("/cut"));
                    }
