Soak: settings are replaced as a whole

Cause: the fault 'reload' wrote the file in place while the node started; operators replace it. The check that no node ends by itself is unchanged.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -129,7 +129,9 @@
   end
   local settings = soak.mesh:settings(vm)
   settings.drain_timeout_ms = settings.drain_timeout_ms + step.number % 1000
-  write_file(LOGS .. "/" .. vm.name .. ".json", encode(settings))
+  local file = LOGS .. "/" .. vm.name .. ".json"
+  write_file(file .. ".new", encode(settings))
+  check(os.rename(file .. ".new", file)) -- a node that starts must not read half of the file
   vm.drain_ms = math.max(vm.drain_ms, settings.drain_timeout_ms)
   signal(vm.name, "HUP")
 end
@@ -413,7 +415,7 @@
     local rule = message:match("^%S+") .. " " .. (message:match(" as (%S+)") or "")
     counts[rule] = (counts[rule] or 0) + 1
   end
-  return encode(counts) .. ", the first: " .. (self.failures[1] or "none")
+  return encode(counts):gsub("%s+", " ") .. ", the first: " .. (self.failures[1] or "none")
 end
 
 -- After the faults a new version is in force, and each node answers callers again.
