Soak: stops while backend servers hang

Cause: few requests outlived a stop, so the end of a stop was seldom tested with requests that are pending. Change: one more fault, a stop with hanging backend servers from a time on at which the node still takes requests.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -13,7 +13,8 @@
 
 -- Kinds of faults with their weights. A stop, a reload and new versions are planned.
 local WEIGHTS = {
-  { "stop", 6 }, { "stops", 2 }, { "reload", 3 }, { "versions", 3 }, { "evacuate", 1 },
+  { "stop", 5 }, { "stops", 2 }, { "stop_hanging", 2 }, { "reload", 3 }, { "versions", 3 },
+  { "evacuate", 1 },
   { "kill", 2 }, { "pause", 2 }, { "cut", 1 }, { "reset", 1 }, { "delay", 1 }, { "platform", 2 },
   { "hang", 3 }, { "slow", 2 }, { "refuse", 2 }, { "kill_backend", 1 }, { "pause_backend", 2 },
 }
@@ -272,6 +273,17 @@
   end,
   function(vm, mesh) mesh:start_backend(vm) end)
 
+-- Stops a node; backend servers hang from a time on at which it still takes requests, to its end.
+function faults.stop_hanging(soak, step)
+  local note = faults.stop(soak, step)
+  soak:after(step.number % 2500, function()
+    for domain = 1, 3 do
+      faults.hang(soak, { domain = domain, index = step.index, duration = 3000 + step.duration })
+    end
+  end)
+  return note
+end
+
 -- Follows planned stops; a node that ends otherwise ended by itself.
 function Soak:watch_processes()
   for _, vm in ipairs(self.mesh.vms) do
