--- a/tests/scenarios/scenario_soak.lua
+++ b/tests/scenarios/scenario_soak.lua
@@ -41,15 +41,15 @@
 soak:check_served(ends, recovered_at)
 
 local answered, total, not_run = wait_loads(3, 120000)
+local runs_by_tag = {}
 for _, vm in ipairs(mesh.vms) do
-  local runs_by_tag = {}
   for _, run in ipairs(mesh:read_runs(vm)) do
     runs_by_tag[run.tag] = (runs_by_tag[run.tag] or 0) + 1
   end
-  for tag, count in pairs(runs_by_tag) do
-    check(count == 1 or not tag:find("^order"), tag .. " ran " .. count .. " times")
-    check(not not_run[tag], tag .. " ran, and its caller was told that it did not")
-  end
+end
+for tag, count in pairs(runs_by_tag) do
+  check(count == 1 or not tag:find("^order"), tag .. " ran " .. count .. " times")
+  check(not not_run[tag], tag .. " ran, and its caller was told that it did not")
 end
 check(answered > 0.5 * total, "only " .. answered .. " of " .. total .. " were answered")
 check(#soak.failures == 0, soak:summary())
