A node that did not read takes no outage of the platform from that

Cause: PlatformReader gave removed instances a grace of two seconds when its own last answer was three seconds old. A node that had just become a watcher had not read before, and an empty watch takes three seconds, so instances removed long ago were published again, as revision - 1. Change: an outage is assumed after failed reads only, if meanwhile no node is known to have had an answer; a node that did not read assumes one if that is so for the time of a watch more.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -94,7 +94,11 @@
   /// \brief Applies the age of the last contact with the platform that a peer reported.
   void OnReportedAge(Duration aAge)
   {
+    longestGap_ = std::max(longestGap_, lastContact_.Age(context_.Now()));
     lastContact_ = lastContact_.AfterReportedAge(aAge, context_.Now());
+    if (!failing_) {
+      longestGap_ = {};
+    }
   }
 
   void OnTimer()
@@ -133,6 +137,7 @@
   void Read(TimePoint aNow)
   {
     context_.GetMetrics().Count("platform_reads");
+    readSentAt_ = aNow;
     if (listing_) {
       readDeadline_ = aNow + kReadTimeout;
       context_.Ports().source_.ReadItems(listing_->afterKey_);
@@ -148,15 +153,15 @@
   {
     const auto now = context_.Now();
     if (failing_) {
-      failing_ = false;
       context_.Write(LogEvent("platform_regained")
                        .With("revision", aRead.revision_)
                        .With("silent_ms", Milliseconds(now - lastAnswerAt_)));
     }
-    const bool mayHaveExpired = now - lastAnswerAt_ >= kExpiryOutage;
-    if (mayHaveExpired) {
+    if (MayFollowOutage(now)) {
       graceEndsAt_ = now + kExpiryGrace;
     }
+    failing_ = false;
+    longestGap_ = {};
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
     nextRead_ = now + kMinReadInterval;
@@ -171,6 +176,16 @@
     }
   }
 
+  /// Returns true if a successful read may follow an outage of the platform: for that time no node
+  /// is known to have had an answer. A node that did not read, or whose own answer was lost, learns
+  /// of the answers to others.
+  [[nodiscard]] bool MayFollowOutage(TimePoint aNow) const
+  {
+    // Without a failure, the time in which a watch waits for changes is no silence.
+    return failing_ ? std::max(longestGap_, lastContact_.Age(aNow)) >= kExpiryOutage
+                    : lastContact_.Age(readSentAt_) >= kExpiryOutage + kWatchWait;
+  }
+
   void ApplyPage(const ItemsRead& aRead)
   {
     auto& listing = *listing_;
@@ -388,10 +403,12 @@
   Backoff backupBackoff_;
   TimePoint nextRead_;
   std::optional<TimePoint> readDeadline_; ///< set while a read is in flight
+  TimePoint readSentAt_;                  ///< of the last read
   std::optional<Listing> listing_ = Listing{};
   std::uint64_t revision_ = 0;
   std::uint64_t vmListRevision_ = 0; ///< number of lists of VMs that were applied
-  bool failing_ = false;
+  bool failing_ = false;             ///< the last read failed
+  Duration longestGap_{};            ///< between answers to any node, since reads fail
   bool hasRead_ = false;
   DocumentAssembly assembly_;
   std::set<std::string> expiredKeys_; ///< removed instances whose grace period runs
