A late refusal of a lessor counts, and only refused requests get a retry slot

A message that only closes leases took a retry slot. Change: a late refusal marks the lessor as exhausted; slots are for requests that got no token. Slot instead of turn: a turn is one of the event loop. The part about closures was found by review and has no test of its own.

--- a/include/geraniumpin/process/token_lessor.hpp
+++ b/include/geraniumpin/process/token_lessor.hpp
@@ -80,7 +80,7 @@
     double outstanding_ = 0;
     bool mayGrant_ = false;
     TimePoint refilledAt_;
-    TimePoint lastTurnAt_; ///< when the holder that was refused last may ask again
+    TimePoint lastRetrySlotAt_; ///< when the holder that was refused last may ask again
     std::map<LeaseKey, Lease> leases_;
     std::map<std::pair<NodeAddress, std::uint64_t>, std::uint64_t> lastSequence_;
   };
@@ -93,9 +93,9 @@
                              std::uint32_t aRequested,
                              TimePoint aNow);
 
-  /// For the load pattern "hot team": each refused holder gets a turn of its own, one for each
+  /// For the load pattern "hot team": each refused holder gets a slot for its retry, one for each
   /// token that the bucket refills, so that the requests for tokens do not grow with the holders.
-  [[nodiscard]] static Duration TakeTurn(Bucket& aBucket, TimePoint aNow);
+  [[nodiscard]] static Duration ReserveRetrySlot(Bucket& aBucket, TimePoint aNow);
 
   std::map<std::string, Bucket> buckets_;
 };
--- a/src/connection/lease_holder.cpp
+++ b/src/connection/lease_holder.cpp
@@ -179,7 +179,11 @@
   }
   if (lessor->timedOut_.erase(aGrant.sequence_) > 0) {
     lessor->unresponsiveUntil_ = {};
-    lessor->closures_.push_back({ .sequence_ = aGrant.sequence_, .unused_ = aGrant.tokens_ });
+    if (aGrant.tokens_ == 0) {
+      lessor->exhaustedUntil_ = aNow + aGrant.retryAfter_;
+    } else {
+      lessor->closures_.push_back({ .sequence_ = aGrant.sequence_, .unused_ = aGrant.tokens_ });
+    }
     return;
   }
   if (!lessor->pending_ || lessor->pending_->sequence_ != aGrant.sequence_) {
--- a/src/process/token_lessor.cpp
+++ b/src/process/token_lessor.cpp
@@ -11,8 +11,8 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{ 2 };
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
 
-// A request waits 100 ms for a token at most, so a later turn serves those that arrive until then.
-constexpr std::chrono::milliseconds kMaxTurnWait{ 400 };
+// Longest delay of a retry slot. Holders beyond it share their slots.
+constexpr std::chrono::milliseconds kMaxRetrySlotDelay{ 400 };
 
 constexpr std::size_t kMaxHolders = 4096;
 
@@ -134,14 +134,14 @@
 }
 
 Duration
-TokenLessor::TakeTurn(Bucket& aBucket, TimePoint aNow)
+TokenLessor::ReserveRetrySlot(Bucket& aBucket, TimePoint aNow)
 {
   const auto rate = aBucket.share_.ratePerSecond_;
-  const auto firstTurn = impl::ComputeRetryAfter(aBucket.level_, rate);
+  const auto firstSlot = impl::ComputeRetryAfter(aBucket.level_, rate);
   const auto interval = impl::ComputeRetryAfter(0, rate);
-  const auto turn = std::max(firstTurn, aBucket.lastTurnAt_ + interval - aNow);
-  const auto wait = std::min(turn, std::max<Duration>(firstTurn, impl::kMaxTurnWait));
-  aBucket.lastTurnAt_ = aNow + wait;
+  const auto slot = std::max(firstSlot, aBucket.lastRetrySlotAt_ + interval - aNow);
+  const auto wait = std::min(slot, std::max<Duration>(firstSlot, impl::kMaxRetrySlotDelay));
+  aBucket.lastRetrySlotAt_ = aNow + wait;
   return wait;
 }
 
@@ -179,7 +179,8 @@
   const bool late = aRequest.sequence_ <= last;
   last = std::max(last, aRequest.sequence_);
   const auto tokens = late ? 0 : Grant(bucket, key, aRequest.requestedTokens_, aNow);
-  return grant(tokens, tokens > 0 ? Duration{} : TakeTurn(bucket, aNow));
+  const bool isRefused = tokens == 0 && !late && aRequest.requestedTokens_ > 0;
+  return grant(tokens, isRefused ? ReserveRetrySlot(bucket, aNow) : Duration{});
 }
 
 } // namespace geraniumpin
--- a/tests/connection/lease_holder_test.cpp
+++ b/tests/connection/lease_holder_test.cpp
@@ -55,6 +55,20 @@
   BOOST_TEST(!holder.IsExhausted(late));
 }
 
+// A lessor that answered late had its refusals ignored and was asked again at once, which made it
+// later still.
+BOOST_AUTO_TEST_CASE(a_late_refusal_counts_as_one)
+{
+  LeaseHolder holder("t", 0);
+  holder.SetLessors({ NodeAt(1, 1) });
+  const auto addressed = holder.NextRequest(kStart, 1);
+  const auto late = kStart + LeaseHolder::kAnswerTimeout;
+  BOOST_TEST(!holder.NextRequest(late, 1).has_value());
+  holder.OnGrant(NodeAt(1, 1), MakeGrant(addressed->request_.sequence_, 0), late);
+  BOOST_TEST(holder.IsExhausted(late));
+  BOOST_TEST(!holder.NextRequest(late, 1).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_late_lease_is_returned_once)
 {
   LeaseHolder holder("t", 0);
--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -138,7 +138,7 @@
 
 // Load pattern "hot team": sixty entry nodes whose requests exceed the rate of a team all came back
 // when the next token was due, a thousand messages a second at one lessor, which read nothing else.
-BOOST_AUTO_TEST_CASE(holders_of_a_hot_team_take_turns_at_an_exhausted_lessor)
+BOOST_AUTO_TEST_CASE(holders_of_a_hot_team_retry_in_slots_of_their_own)
 {
   constexpr int kHolders = 60;
   constexpr double kRate = 15;
