A request that is read after its deadline is refused at once

Cause, found by review of the change before: since deadlines count from the earliest arrival, a request read after its deadline was still sent to an owner, cancelled in the same turn and answered as unknown, although it had not run; and the time in which it waited unread counted as waiting for a token of its team. Change: Accept refuses it as not run; both waits for a token count from when the request is accepted. Test: a_request_that_is_read_late_is_refused_after_its_deadline_and_served_before; not run on the code before.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -220,12 +220,18 @@
     if (aTokenContext != nullptr) {
       deadline = std::min(deadline, aTokenContext->deadline_);
     }
-    auto& call =
-      calls_
-        .emplace(
-          aCall.id_,
-          EntryCall{ .call_ = aCall, .decision_ = std::move(aDecision), .deadline_ = deadline })
-        .first->second;
+    const auto now = context_.Now();
+    if (now >= deadline) {
+      Refuse(aCall, Reason::DeadlinePassed);
+      return;
+    }
+    auto& call = calls_
+                   .emplace(aCall.id_,
+                            EntryCall{ .call_ = aCall,
+                                       .decision_ = std::move(aDecision),
+                                       .deadline_ = deadline,
+                                       .acceptedAt_ = now })
+                   .first->second;
     deadlines_.emplace(deadline, aCall.id_);
     call.service_ =
       destinations_.Next(call.decision_.route_, DrawFraction(context_.Ports().random_));
@@ -238,7 +244,7 @@
       return;
     }
     waiting_[call.decision_.team_].insert(aCall.id_);
-    deadlines_.emplace(std::min(deadline, aCall.arrivedAt_ + kMaxTokenWait), aCall.id_);
+    deadlines_.emplace(std::min(deadline, now + kMaxTokenWait), aCall.id_);
     OnTokens(call.decision_.team_); // earlier requests get tokens first
   }
 
@@ -288,7 +294,7 @@
       wait =
         std::min(wait, std::chrono::duration_cast<Duration>(target * kExhaustedWaitTargetShare));
     }
-    return aCall.call_.arrivedAt_ + wait;
+    return aCall.acceptedAt_ + wait;
   }
 
   [[nodiscard]] static Duration OverRateRetryAfter(const EntryCall& aCall)
@@ -583,7 +589,7 @@
     StopWaiting(aCall->second);
     failureDetector_.CancelCheck(id);
     deadlines_.erase({ aCall->second.deadline_, id });
-    deadlines_.erase({ aCall->second.call_.arrivedAt_ + kMaxTokenWait, id });
+    deadlines_.erase({ aCall->second.acceptedAt_ + kMaxTokenWait, id });
     calls_.erase(aCall);
   }
 
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -22,6 +22,7 @@
   const Call call_;
   const RouteDecision decision_;
   const TimePoint deadline_;
+  const TimePoint acceptedAt_; ///< later than its arrival if it waited unread
   EntryStage stage_ = EntryStage::WaitingForToken;
   std::optional<ConsumedToken> token_;
   std::string service_;               ///< destination of the request
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -422,7 +422,7 @@
   BOOST_TEST(limit() < warm);
 }
 
-// Guards against work for a caller that left before its request was read (rule GONE).
+// A request was passed on although its caller had left before it was read.
 BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_before_it_was_read_does_not_run)
 {
   FakeMesh mesh(9);
@@ -451,6 +451,34 @@
   BOOST_TEST((mesh.answers_.at({ 77, 2 }).outcome_ == Outcome::Answered));
 }
 
+// A request that had waited unread was passed on after its deadline and ended as unknown, or was
+// refused for the wait for a token that it had not begun.
+BOOST_AUTO_TEST_CASE(a_request_that_is_read_late_is_refused_after_its_deadline_and_served_before)
+{
+  FakeMesh mesh(17);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto call = [&](std::uint64_t aSequence, Duration aUnread) {
+    mesh.At(NodeAt(1, 1))
+      .OnCall({ .id_ = { 77, aSequence },
+                .method_ = "POST",
+                .path_ = "/orders/1",
+                .headers_ = {},
+                .body_ = {},
+                .key_ = "key-small",
+                .callToken_ = {},
+                .idempotencyKey_ = {},
+                .arrivedAt_ = mesh.clock_.Now() - aUnread,
+                .timeout_ = milliseconds(1000) });
+    mesh.Run(milliseconds(400));
+  };
+  call(1, milliseconds(1100));
+  BOOST_TEST((mesh.answers_.at({ 77, 1 }).outcome_ == Outcome::NotRun));
+  BOOST_TEST((mesh.answers_.at({ 77, 1 }).reason_ == Reason::DeadlinePassed));
+  BOOST_TEST(mesh.CountRuns({ 77, 1 }) == 0U);
+  call(2, EntryService<FakeNodePorts>::kMaxTokenWait + milliseconds(100));
+  BOOST_TEST((mesh.answers_.at({ 77, 2 }).outcome_ == Outcome::Answered));
+}
+
 // A trickle of bytes keeps a response open: only the deadline ends the exchange with the server.
 BOOST_AUTO_TEST_CASE(a_response_without_end_is_cancelled_at_its_deadline_and_counts_as_failed)
 {
