A stop of a late node keeps its phases and its end

Cause, found by review: the time for the connections accepted last had become absolute, so a node whose turn outlasted it read none of them; and a stop counted from when the loop noticed the signal, so a late one could outlast the time until the process is killed. Change: that time counts from StopAccepting, what has arrived is read once more before the exit, and a stop begins 400 ms after the earliest arrival of its signal at the latest. node_stop tells what was unanswered before the last answers, and whether these were sent. Tests: scenario_stop_slow_node pauses for 90 ms only and passed before; a case with a pause at the end of the accept phase is open.

--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -154,8 +154,8 @@
   void EndPending()
   {
     entry_.StopRetrying();
-    owner_
-      .EndPending(); // first, since a local entry request learns whether its attempt was started
+    // The owner first: a request of this entry node then learns whether its attempt was started.
+    owner_.EndPending();
     DeliverLocalMessages();
     entry_.EndPending();
     DeliverLocalMessages();
--- a/include/geraniumpin/process/stop_schedule.hpp
+++ b/include/geraniumpin/process/stop_schedule.hpp
@@ -17,12 +17,8 @@
   /// Longest time for which a stopping node accepts connections: longer than two periods of
   /// readiness checks.
   static constexpr std::chrono::milliseconds kMaxAcceptTime{ 2500 };
-  /// Time for the connections accepted last to send their request and get its response.
-  static constexpr std::chrono::milliseconds kAcceptedRequestTime{ 200 };
 
   const TimePoint acceptUntil_; ///< until then the node is not ready, but serves new requests
-  const TimePoint
-    openUntil_; ///< until then it runs even if idle, to refuse requests on open connections
   const TimePoint endAt_; ///< until then it finishes pending requests; then it answers those left
 
   /// \brief Computes the schedule of a stop.
@@ -30,11 +26,8 @@
   /// that each one has the other half to finish.
   [[nodiscard]] static StopSchedule Make(TimePoint aBegin, Duration aTimeout) noexcept
   {
-    const auto end = aBegin + aTimeout;
-    const auto acceptUntil = aBegin + std::min<Duration>(kMaxAcceptTime, aTimeout / 2);
-    return { .acceptUntil_ = acceptUntil,
-             .openUntil_ = std::min(end, acceptUntil + kAcceptedRequestTime),
-             .endAt_ = end };
+    return { .acceptUntil_ = aBegin + std::min<Duration>(kMaxAcceptTime, aTimeout / 2),
+             .endAt_ = aBegin + aTimeout };
   }
 
   auto operator<=>(const StopSchedule&) const = default;
--- a/src/adapters/process/event_loop.cpp
+++ b/src/adapters/process/event_loop.cpp
@@ -46,7 +46,7 @@
   const bool sleeps = !std::exchange(skipSleep_, false);
   isRunning_ = true;
   h2o_evloop_run(loop_, sleeps ? static_cast<std::int32_t>(bounded.count()) : 0);
-  OnEvent();
+  RecordWakeUp();
   isRunning_ = false;
 }
 
@@ -58,7 +58,7 @@
 
 /// In a callback, h2o_now is the time of day at which the wait of the turn ended.
 void
-EventLoop::OnEvent()
+EventLoop::RecordWakeUp()
 {
   if (!wokeUpAt_) {
     const Duration slept = std::chrono::milliseconds(h2o_now(loop_)) - beganTimeOfDay_;
@@ -69,7 +69,7 @@
 TimePoint
 EventLoop::EarliestArrival()
 {
-  OnEvent();
+  RecordWakeUp();
   return *wokeUpAt_ - beganAt_ > impl::kClockResolution ? *wokeUpAt_ : previousWokeUpAt_;
 }
 
@@ -112,7 +112,7 @@
 FdWatch::OnReadable(st_h2o_socket_t* aSocket, const char* /*aError*/)
 {
   auto* watch = static_cast<FdWatch*>(aSocket->data);
-  watch->loop_.OnEvent();
+  watch->loop_.RecordWakeUp();
   // Copied, since the callback may destroy the watch.
   const auto onReadable = watch->onReadable_;
   onReadable();
--- a/src/adapters/process/event_loop.hpp
+++ b/src/adapters/process/event_loop.hpp
@@ -34,8 +34,8 @@
   /// after its wait. Has no effect inside RunOnce.
   void SkipSleep();
 
-  /// \brief Records when this turn woke up; called at the begin of each callback.
-  void OnEvent();
+  /// \brief Records when this turn woke up, in its first callback.
+  void RecordWakeUp();
 
   /// \brief Returns the earliest time at which data that is read in this turn can have arrived.
   ///
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -135,33 +135,44 @@
 
   int Drain()
   {
-    const auto beganAt = clock_.Now();
+    // A late notice takes up to kMaxNoticeDelay of the time until the process is killed.
+    const auto beganAt = std::min(clock_.Now(), signals_.StopRequestedAt() + kMaxNoticeDelay);
     const auto schedule = StopSchedule::Make(beganAt, settings_.DrainTimeout());
+    const auto isIdle = [this] { return node_.IsIdle() && callers_.IsIdle(); };
     node_.BeginDrain();
     callers_.DisableKeepAlive();
     // In this time, readiness checks find the node not ready; requests are still served.
     StepUntil(schedule.acceptUntil_, [] { return false; });
     callers_.StopAccepting();
     node_.StopAccepting(); // open connections may still send requests
-    StepUntil(schedule.openUntil_, [] { return false; });
-    StepUntil(schedule.endAt_, [this] { return node_.IsIdle() && callers_.IsIdle(); });
-    const auto left = node_.Status();
-    const bool idle = node_.IsIdle() && callers_.IsIdle();
+    // Counted from here, so that a late node reads the connections that it accepted last.
+    const auto refuseUntil = clock_.Now() + kAcceptedRequestTime;
+    ReadArrived();
+    StepUntil(std::min(schedule.endAt_, refuseUntil), [] { return false; });
+    StepUntil(schedule.endAt_, isIdle);
+    const bool wasIdle = isIdle();
+    const auto remaining = node_.Status();
+    const auto unanswered = callers_.UnansweredRequests();
     node_.EndPending();
+    ReadArrived();
     StepUntil(clock_.Now() + kMaxFlushTime, [this] { return callers_.IsIdle(); });
     log_.Write(
       LogEvent("node_stop")
-        .With("idle", idle)
-        .With("entry_calls", left.entryCalls_)
-        .With("owned_attempts", left.ownedAttempts_)
-        .With("unanswered", callers_.UnansweredRequests())
+        .With("idle", wasIdle)
+        .With("entry_calls", remaining.entryCalls_)
+        .With("owned_attempts", remaining.ownedAttempts_)
+        .With("unanswered", unanswered)
+        .With("flushed", callers_.IsIdle())
         .With(
           "ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - beganAt).count()));
     log_.Flush();
-    return idle ? 0 : kExitNotDrained;
+    return wasIdle ? 0 : kExitNotDrained;
   }
 
+  /// Handles what has arrived, without sleeping.
+  void ReadArrived() { Step(clock_.Now()); }
+
   template<class Condition>
   void StepUntil(TimePoint aEnd, Condition aDone)
   {
@@ -199,6 +210,10 @@
     }
   }
 
+  /// Time for the connections accepted last to send their request and get its response.
+  static constexpr std::chrono::milliseconds kAcceptedRequestTime{ 200 };
+  /// Delay of the notice of a stop by which the stop does not end earlier.
+  static constexpr std::chrono::milliseconds kMaxNoticeDelay{ 400 };
   /// Longest time to send the last responses.
   static constexpr std::chrono::milliseconds kMaxFlushTime{ 250 };
   /// Idle time of connections to a backend server that states no shorter one.
--- a/src/adapters/process/signal_watch.cpp
+++ b/src/adapters/process/signal_watch.cpp
@@ -18,12 +18,14 @@
   std::signal(SIGPIPE, SIG_IGN);
   fd_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   PCHECK(fd_ >= 0) << "event=signalfd_failed";
-  watch_ = std::make_unique<FdWatch>(aLoop, fd_, [this] {
+  watch_ = std::make_unique<FdWatch>(aLoop, fd_, [this, &aLoop] {
     signalfd_siginfo info{};
     while (read(fd_, &info, sizeof info) == sizeof info) {
       const bool reload = info.ssi_signo == SIGHUP;
       reloadRequested_ = reloadRequested_ || reload;
-      stopRequested_ = stopRequested_ || !reload;
+      if (!reload && !stopRequestedAt_) {
+        stopRequestedAt_ = aLoop.EarliestArrival();
+      }
     }
   });
 }
--- a/src/adapters/process/signal_watch.hpp
+++ b/src/adapters/process/signal_watch.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "event_loop.hpp"
+#include "geraniumpin/process/clock.hpp"
 
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace geraniumpin {
@@ -20,11 +22,15 @@
   [[nodiscard]] bool TakeReloadRequest() noexcept { return std::exchange(reloadRequested_, false); }
 
   /// \brief Returns true once SIGTERM or SIGINT arrived.
-  [[nodiscard]] bool StopRequested() const noexcept { return stopRequested_; }
+  [[nodiscard]] bool StopRequested() const noexcept { return stopRequestedAt_.has_value(); }
+
+  /// \brief Returns the earliest time at which SIGTERM or SIGINT can have arrived; only after it
+  /// was noticed.
+  [[nodiscard]] TimePoint StopRequestedAt() const { return stopRequestedAt_.value(); }
 
 private:
   int fd_;
-  bool stopRequested_ = false;
+  std::optional<TimePoint> stopRequestedAt_;
   bool reloadRequested_ = false;
   std::unique_ptr<FdWatch> watch_;
 };
