--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -287,6 +287,7 @@
   {
     auto* connection = static_cast<Connection*>(aSocket->data);
     auto* owner = connection->owner_;
+    owner->loop_.RecordWakeUp();
     if (aError != nullptr) {
       owner->OnStreamEnd(connection, aError == h2o_socket_error_closed);
       return;
--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -20,7 +20,7 @@
 constexpr int kMaxAcceptsPerEvent = 16; // leaves time for the requests of open connections
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
 constexpr int kBadGateway = 502;
-constexpr int kMaxDiscards = 16;
+constexpr int kMaxDiscardReads = 16;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
@@ -97,7 +97,7 @@
 DiscardUnread(int aFd)
 {
   std::array<char, 4096> buffer{};
-  for (int i = 0; i < kMaxDiscards && recv(aFd, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0;
+  for (int i = 0; i < kMaxDiscardReads && recv(aFd, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0;
        ++i) {
   }
 }
