Platform reader: the gap between answers covers the read in flight

A report of another node's answer that arrived before the own read had failed was not counted, so an outage of about one watch could be missed. platform_reader_test and convergence_test pass; no test shows the case.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -96,9 +96,6 @@
   {
     longestGap_ = std::max(longestGap_, lastContact_.Age(context_.Now()));
     lastContact_ = lastContact_.AfterReportedAge(aAge, context_.Now());
-    if (!failing_) {
-      longestGap_ = {};
-    }
   }
 
   void OnTimer()
@@ -138,6 +135,9 @@
   {
     context_.GetMetrics().Count("platform_reads");
     readSentAt_ = aNow;
+    if (!failing_) {
+      longestGap_ = {};
+    }
     if (listing_) {
       readDeadline_ = aNow + kReadTimeout;
       context_.Ports().source_.ReadItems(listing_->afterKey_);
@@ -161,7 +161,6 @@
       graceEndsAt_ = now + kExpiryGrace;
     }
     failing_ = false;
-    longestGap_ = {};
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
     nextRead_ = now + kMinReadInterval;
@@ -408,7 +407,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t vmListRevision_ = 0; ///< number of lists of VMs that were applied
   bool failing_ = false;             ///< the last read failed
-  Duration longestGap_{};            ///< between answers to any node, since reads fail
+  Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
   bool hasRead_ = false;
   DocumentAssembly assembly_;
   std::set<std::string> expiredKeys_; ///< removed instances whose grace period runs
