An attempt at a slow owner goes on beside the next one

Cause: an owner that did not answer a liveness probe in time counted as dead, its attempt was cancelled, and the request ended as unknown if no other instance took it. Change: the attempt is not cancelled. The next one runs beside it, the first answer of the two is the caller's, the other is cancelled then; if the next one is refused or there is no instance for it, the request waits for the first again, until its deadline. Idempotent requests only, within the retry budget, as before. Test: a_request_at_a_slow_owner_goes_on_while_another_attempt_is_made; failed on the code before (unknown).

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -99,7 +99,7 @@
       auto& call = calls_.begin()->second;
       const bool sent = call.stage_ == EntryStage::AtOwner;
       if (sent) {
-        context_.Send(call.owner_, CallCancel{ call.call_.id_, call.attempts_ });
+        CancelAttempts(call);
       }
       Finish(call,
              Answer::WithoutContent(sent ? Outcome::Unknown : Outcome::NotRun, Reason::Draining));
@@ -113,9 +113,9 @@
     if (found == calls_.end()) {
       return;
     }
-    const auto& call = found->second;
+    auto& call = found->second;
     if (call.stage_ == EntryStage::AtOwner) {
-      context_.Send(call.owner_, CallCancel{ aId, call.attempts_ });
+      CancelAttempts(call);
     }
     context_.GetMetrics().Count("calls_cancelled");
     const auto outcome = call.stage_ == EntryStage::AtOwner ? Outcome::Unknown : Outcome::NotRun;
@@ -128,8 +128,16 @@
   {
     loadTable_.OnLoadReport(aEnvelope.sender_, aReply.loadReport_, context_.Now());
     const auto found = calls_.find(aReply.id_);
-    if (found == calls_.end() || found->second.attempts_ != aReply.attempt_ ||
-        found->second.stage_ != EntryStage::AtOwner) {
+    if (found == calls_.end() || found->second.stage_ != EntryStage::AtOwner) {
+      context_.GetMetrics().Count("late_replies");
+      return;
+    }
+    if (const auto& superseded = found->second.superseded_;
+        superseded && superseded->number_ == aReply.attempt_) {
+      OnSupersededReply(found->second, aReply);
+      return;
+    }
+    if (found->second.attempt_ != aReply.attempt_) {
       context_.GetMetrics().Count("late_replies");
       return;
     }
@@ -320,7 +328,7 @@
     aCall.owner_ = chosen->node_;
     aCall.instance_ = chosen->name_;
     aCall.triedOwners_.insert(chosen->node_);
-    ++aCall.attempts_;
+    aCall.attempt_ = ++aCall.attempts_;
     const auto& call = aCall.call_;
     const auto now = context_.Now();
     const auto remaining = aCall.deadline_ - now;
@@ -329,7 +337,7 @@
     failureDetector_.ScheduleCheck(call.id_, now + OwnerTimeoutsFor(aCall).probeDelay_);
     context_.Send(chosen->node_,
                   CallRequest{ .id_ = call.id_,
-                               .attempt_ = aCall.attempts_,
+                               .attempt_ = aCall.attempt_,
                                .requestId_ = call.requestId_,
                                .route_ = aCall.decision_.route_.name_,
                                .service_ = aCall.service_,
@@ -440,7 +448,7 @@
       if (noContact) {
         loadTable_.ExcludeTemporarily(aCall.owner_, context_.Now());
       }
-      context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempts_ });
+      CancelAttempts(aCall);
       const auto reason = noContact ? Reason::PeerSilent : Reason::DeadlinePassed;
       Finish(aCall, Answer::WithoutContent(Outcome::Unknown, reason));
     }
@@ -504,12 +512,47 @@
     instances.insert(aCall.instance_);
     const bool mayTryElsewhere = route.idempotent_ && instances.size() < route.attempts_ &&
                                  retryBudgets_[aCall.service_].AllowsRetry();
-    if (mayTryElsewhere) {
-      context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempts_ });
+    if (mayTryElsewhere && !aCall.superseded_) {
+      aCall.superseded_ = { aCall.owner_, aCall.attempt_ };
       OnAttemptEnd(aCall, answer);
     }
   }
 
+  /// An owner without contact may merely be slow and its instance at work, so its attempt goes on
+  /// beside the next one; the first answer of the two is the caller's.
+  void OnSupersededReply(EntryCall& aCall, const CallReply& aReply)
+  {
+    const auto& answer = aReply.answer_;
+    const auto owner = aCall.superseded_->owner_;
+    aCall.superseded_.reset();
+    if (answer.outcome_ != Outcome::Answered || IsServerError(answer.status_)) {
+      return; // the current attempt decides
+    }
+    aCall.queueTime_ = aReply.queueTime_;
+    aCall.instanceTime_ = aReply.instanceTime_;
+    loadTable_.OnServed(owner, aCall.decision_.route_.name_, aReply.instanceTime_);
+    CancelAttempts(aCall);
+    Finish(aCall, answer);
+  }
+
+  void CancelAttempts(EntryCall& aCall)
+  {
+    const auto& id = aCall.call_.id_;
+    context_.Send(aCall.owner_, CallCancel{ id, aCall.attempt_ });
+    if (aCall.superseded_) {
+      context_.Send(aCall.superseded_->owner_, CallCancel{ id, aCall.superseded_->number_ });
+      aCall.superseded_.reset();
+    }
+  }
+
+  /// Waits for the superseded attempt again.
+  static void ResumeSuperseded(EntryCall& aCall)
+  {
+    aCall.owner_ = aCall.superseded_->owner_;
+    aCall.attempt_ = aCall.superseded_->number_;
+    aCall.superseded_.reset();
+  }
+
   void Refuse(const Call& aCall, Reason aReason)
   {
     const auto answer = Answer::WithoutContent(Outcome::NotRun, aReason);
@@ -519,6 +562,14 @@
 
   void Finish(EntryCall& aCall, const Answer& aLast)
   {
+    if (aCall.superseded_) {
+      if (aLast.outcome_ != Outcome::Answered) {
+        ResumeSuperseded(aCall);
+        return;
+      }
+      context_.Send(aCall.superseded_->owner_,
+                    CallCancel{ aCall.call_.id_, aCall.superseded_->number_ });
+    }
     const auto id = aCall.call_.id_;
     // An earlier attempt may have run even if the last one did not.
     const bool earlierMayHaveRun = aLast.outcome_ == Outcome::NotRun && aCall.mayHaveRun_;
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -16,6 +16,15 @@
   AtOwner          ///< an attempt was sent to an owner node
 };
 
+/// \brief An attempt sent to an owner node.
+struct SentAttempt
+{
+  NodeAddress owner_;
+  std::uint32_t number_ = 0;
+
+  auto operator<=>(const SentAttempt&) const = default;
+};
+
 /// \brief A request that its entry node accepted; removed when the caller gets the answer.
 struct EntryCall
 {
@@ -25,12 +34,14 @@
   const TimePoint acceptedAt_; ///< later than its arrival if it waited unread
   EntryStage stage_ = EntryStage::WaitingForToken;
   std::optional<ConsumedToken> token_;
-  std::string service_;               ///< destination of the request
-  std::uint32_t attempts_ = 0;        ///< attempts sent to owner nodes
-  bool mayHaveRun_ = false;           ///< the outcome of an earlier attempt is unknown
-  std::set<std::string> instances_;   ///< instances that ended attempts may have reached
-  std::string instance_;              ///< of the last attempt
-  std::optional<Answer> firstAnswer_; ///< first answer of an instance, if it was a server error
+  std::string service_;                   ///< destination of the request
+  std::uint32_t attempts_ = 0;            ///< attempts sent to owner nodes
+  std::uint32_t attempt_ = 0;             ///< number of the current attempt
+  std::optional<SentAttempt> superseded_; ///< earlier attempt that may still be answered
+  bool mayHaveRun_ = false;               ///< the outcome of an earlier attempt is unknown
+  std::set<std::string> instances_;       ///< instances that ended attempts may have reached
+  std::string instance_;                  ///< of the last attempt
+  std::optional<Answer> firstAnswer_;     ///< first answer of an instance, if it was a server error
   std::optional<Answer> lastAttemptResult_; ///< set if another attempt follows
   NodeAddress owner_;
   TimePoint sentAt_{};      ///< when the last attempt was sent
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -451,6 +451,35 @@
   BOOST_TEST((mesh.answers_.at({ 77, 2 }).outcome_ == Outcome::Answered));
 }
 
+// A running request was cancelled because its owner was slow, and ended as unknown, since the only
+// other instance was busy.
+BOOST_AUTO_TEST_CASE(a_request_at_a_slow_owner_goes_on_while_another_attempt_is_made)
+{
+  FakeMesh mesh(18);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 2 });
+  const auto entry = NodeAt(1, 1);
+  const auto owner = NodeAt(1, 2);
+  mesh.serviceTime_ = milliseconds(300);
+  while (mesh.At(owner).Status().ownedAttempts_ == 0) {
+    mesh.Run(milliseconds(400));
+    mesh.Call(entry, "", "GET", "/public/x");
+    mesh.Run(milliseconds(20));
+  }
+  const auto id = mesh.runs_.rbegin()->first;
+  mesh.serviceTime_ = std::chrono::seconds(10);
+  while (mesh.At(entry).Status().ownedAttempts_ == 0) {
+    mesh.Call(entry, "", "GET", "/public/x");
+    mesh.Run(milliseconds(2));
+  }
+  mesh.Pause(owner);
+  mesh.Run(milliseconds(600));
+  mesh.Resume(owner);
+  mesh.Run(milliseconds(100));
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Answered));
+  BOOST_TEST(mesh.CountRuns(id) == 1U);
+}
+
 // A request that had waited unread was passed on after its deadline and ended as unknown, or was
 // refused for the wait for a token that it had not begun.
 BOOST_AUTO_TEST_CASE(a_request_that_is_read_late_is_refused_after_its_deadline_and_served_before)
