--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -80,7 +80,7 @@
       Refuse(aCall, decision.error());
       return;
     }
-    Accept(aCall, std::move(*decision), tokenContext);
+    Accept(aCall, *decision, tokenContext);
   }
 
   /// \brief Refuses new requests from now on; accepted ones are finished.
@@ -218,7 +218,9 @@
     return aCall.key_.empty() ? std::nullopt : std::optional(Digest::Compute(aCall.key_));
   }
 
-  void Accept(const Call& aCall, RouteDecision aDecision, const CallTokenContext* aTokenContext)
+  void Accept(const Call& aCall,
+              const RouteDecision& aDecision,
+              const CallTokenContext* aTokenContext)
   {
     Duration timeout = aDecision.route_.timeout_;
     if (aCall.timeout_ > Duration{}) {
@@ -236,7 +238,7 @@
     auto& call = calls_
                    .emplace(aCall.id_,
                             EntryCall{ .call_ = aCall,
-                                       .decision_ = std::move(aDecision),
+                                       .decision_ = aDecision,
                                        .deadline_ = deadline,
                                        .acceptedAt_ = now })
                    .first->second;
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -233,8 +233,10 @@
 // Guards against connections that wait in the backlog: one was accepted in each turn of the loop.
 BOOST_FIXTURE_TEST_CASE(a_burst_of_connections_is_accepted_at_once, Fixture)
 {
+  constexpr int kClients = 16;
   std::vector<std::unique_ptr<ScriptedClient>> clients;
-  for (int i = 0; i < 16; ++i) {
+  clients.reserve(kClients);
+  for (int i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<ScriptedClient>(address_));
   }
   loop_.RunOnce(clock_.Now() + milliseconds(100));
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -242,8 +242,10 @@
   StartAll(mesh, kSmall);
   const auto node = NodeAt(1, 1);
   mesh.serviceTime_ = std::chrono::seconds(10);
+  constexpr int kCalls = 40;
   std::vector<CallId> ids;
-  for (int i = 0; i < 40; ++i) {
+  ids.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
     ids.push_back(mesh.Call(node, i % 2 == 0 ? "small" : "large", i % 4 < 2 ? "GET" : "POST"));
   }
   mesh.Run(milliseconds(50));
