--- a/include/geraniumpin/process/config_service.hpp
+++ b/include/geraniumpin/process/config_service.hpp
@@ -136,13 +136,12 @@
     const auto elapsed = context_.Now() - startedAt;
     context_.GetMetrics().Count("versions_applied");
     context_.GetMetrics().Record("apply_ms", elapsed);
-    context_.Write(
-      LogEvent("version_applied")
-        .With("version", aDelta.to_.number_)
-        .With("digest", aDelta.to_.digest_.Hex())
-        .With("source", aSource)
-        .With("changed_parts", aDelta.changed_.size())
-        .With("us", std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count()));
+    context_.Write(LogEvent("version_applied")
+                     .With("version", aDelta.to_.number_)
+                     .With("digest", aDelta.to_.digest_.Hex())
+                     .With("source", aSource)
+                     .With("changed_parts", aDelta.changed_.size())
+                     .With("us", Microseconds(elapsed)));
     onSnapshot_(**applied);
     return std::nullopt;
   }
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -619,11 +619,6 @@
     context_.Write(event);
   }
 
-  [[nodiscard]] static std::int64_t Microseconds(Duration aTime) noexcept
-  {
-    return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
-  }
-
   void StopWaiting(const EntryCall& aCall)
   {
     const auto found = waiting_.find(aCall.decision_.team_);
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -286,12 +286,9 @@
 
   void WriteLoopLag(const LoopTurn& aTurn)
   {
-    const auto microseconds = [](Duration aTime) {
-      return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
-    };
     context_.Write(LogEvent("loop_lag")
-                     .With("turn_us", microseconds(aTurn.duration_))
-                     .With("ended_us_ago", microseconds(context_.Now() - aTurn.endedAt_))
+                     .With("turn_us", Microseconds(aTurn.duration_))
+                     .With("ended_us_ago", Microseconds(context_.Now() - aTurn.endedAt_))
                      .With("calls", aTurn.calls_)
                      .With("messages", aTurn.messages_)
                      .With("backend_ends", aTurn.backendEnds_)
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -433,11 +433,6 @@
                      .With("remaining_us", Microseconds(attempt.deadline_ - now)));
   }
 
-  [[nodiscard]] static std::int64_t Microseconds(Duration aTime) noexcept
-  {
-    return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
-  }
-
   [[nodiscard]] Duration ExpectedServiceTime(const std::string& aRoute) const
   {
     const auto found = serviceTimes_.find(aRoute);
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -379,11 +379,6 @@
     }
   }
 
-  [[nodiscard]] static std::int64_t Milliseconds(Duration aTime) noexcept
-  {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-  }
-
   /// Progress of a listing of all items.
   struct Listing
   {
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -13,12 +13,6 @@
 
 constexpr std::size_t kTagBytes = 32;
 
-std::int64_t
-Microseconds(Duration aDuration) noexcept
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
-}
-
 Duration
 FromMicroseconds(std::int64_t aValue) noexcept
 {
@@ -388,7 +382,7 @@
   message.set_sender_incarnation(aEnvelope.senderIncarnation_);
   message.set_receiver_incarnation(aEnvelope.receiverIncarnation_);
   impl::Write(aEnvelope.senderVersion_, *message.mutable_announced());
-  message.set_sent_at_us(impl::Microseconds(aEnvelope.sentAt_));
+  message.set_sent_at_us(Microseconds(aEnvelope.sentAt_));
   std::visit([&](const auto& aPayload) { impl::Write(aPayload, message); }, aEnvelope.payload_);
   return message.SerializeAsString();
 }
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -156,16 +156,13 @@
     node_.EndPending();
     ReadArrived();
     StepUntil(clock_.Now() + kMaxFlushTime, [this] { return callers_.IsIdle(); });
-    log_.Write(
-      LogEvent("node_stop")
-        .With("idle", wasIdle)
-        .With("entry_calls", remaining.entryCalls_)
-        .With("owned_attempts", remaining.ownedAttempts_)
-        .With("unanswered", unanswered)
-        .With("flushed", callers_.IsIdle())
-        .With(
-          "ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - beganAt).count()));
+    log_.Write(LogEvent("node_stop")
+                 .With("idle", wasIdle)
+                 .With("entry_calls", remaining.entryCalls_)
+                 .With("owned_attempts", remaining.ownedAttempts_)
+                 .With("unanswered", unanswered)
+                 .With("flushed", callers_.IsIdle())
+                 .With("ms", Milliseconds(clock_.Now() - beganAt)));
     log_.Flush();
     return wasIdle ? 0 : kExitNotDrained;
   }
