A refusal by another instance costs retry budget, and its owner stops sending

Cause: one reason, wrong_node, stood for three facts: the message was for an earlier incarnation, the service is elsewhere, and another instance answered 421. The last one arrives at an instance, but entry nodes took it for an attempt that reached none: no retry budget, no exclusion, and the owner was taken out of the tried ones, so that it was chosen again at once. The owner forgot the 421 and sent the next request to the same instance.

Change: three reasons. misdirected needs budget for a retry, keeps its owner among the tried ones and excludes it for a while; its instance does not count toward the attempts of the route, since nothing ran. After a 421 the owner refuses at once, also what it has queued, reports that it accepts no work, and tries one request a second until another instance is published. A 421 says nothing about load, so the concurrency limit stays. Weighed: to go on with the id that the 421 names. Rejected, since the id does not tell the service of the new instance, and the settings may be older than it.

Nodes of earlier builds drop replies with the new reasons and find out by their liveness checks.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -412,8 +412,7 @@
     if (aAnswer.reason_ == Reason::WrongNode) {
       aCall.triedOwners_.erase(aCall.owner_); // its reply carried the new incarnation
     }
-    const bool reachedInstance = MayHaveReachedInstance(aAnswer.outcome_, aAnswer.reason_);
-    if (reachedInstance) {
+    if (MayHaveReachedInstance(aAnswer.outcome_, aAnswer.reason_)) {
       aCall.mayHaveRun_ = aCall.mayHaveRun_ || aAnswer.outcome_ == Outcome::Unknown;
       aCall.instances_.insert(aCall.instance_);
     }
@@ -434,7 +433,7 @@
       Finish(aCall, aAnswer);
       return;
     }
-    budget = reachedInstance ? budget.AfterRetry() : budget;
+    budget = MayHaveArrived(aAnswer.outcome_, aAnswer.reason_) ? budget.AfterRetry() : budget;
     aCall.lastAttemptResult_.emplace(aAnswer);
     context_.GetMetrics().Count("retries");
     StartAttempt(aCall);
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -29,6 +29,8 @@
   static constexpr std::chrono::milliseconds kDefaultColdTime{ 3000 };
   /// Delay until the platform reports that an instance turned cold: two of its report intervals.
   static constexpr std::chrono::milliseconds kColdReportLag{ 2000 };
+  /// Time after which one request is sent again to an instance that seems to have been replaced.
+  static constexpr std::chrono::milliseconds kReplacedInstanceRetry{ 1000 };
 
   /// A cancelled attempt that ran longer than this multiple of its expected service time counts as
   /// shed.
@@ -69,6 +71,8 @@
     auto& slowStart = admission_.SlowStart();
     slowStart.SetRate(service.coldRatePerSecond_);
     if (instanceChanged) {
+      replacedUntil_.reset();
+      instanceSince_ = context_.Now();
       admission_.Restart(InstanceController::Make(server.slots_ > 0), slots);
       if (!server.cold_) {
         slowStart.SetWarm(); // the platform no longer reports this start as cold
@@ -99,6 +103,9 @@
       Reply(aEnvelope.sender_, id, Answer::WithoutContent(Outcome::NotRun, *refusal));
       return;
     }
+    if (replacedUntil_) {
+      replacedUntil_ = context_.Now() + kReplacedInstanceRetry; // this request is the only trial
+    }
     Admit(id, aEnvelope.sender_, aRequest, aDelay);
   }
 
@@ -132,6 +139,7 @@
     const auto startedAt = found->second.startedAt_;
     context_.GetMetrics().Record("backend_ms", context_.Now() - startedAt);
     UpdateAvailability(aEnd.result_);
+    UpdateReplacement(found->second, aEnd.result_);
     auto actions = admission_.OnEnd(ClassifyEnd(aEnd), startedAt, context_.Now());
     EndAttempt(aEnd.id_, MakeAnswer(aEnd));
     ExecuteActions(actions);
@@ -206,7 +214,11 @@
     if (!service_.empty() && !acceptsWork_) {
       return Reason::Draining;
     }
-    return CheckRouteAndKey(*snapshot, aEnvelope, aRequest);
+    if (const auto refusal = CheckRouteAndKey(*snapshot, aEnvelope, aRequest)) {
+      return refusal;
+    }
+    const bool replaced = replacedUntil_ && context_.Now() < *replacedUntil_;
+    return replaced ? std::optional(Reason::InstanceReplaced) : std::nullopt;
   }
 
   /// Checks route and key again, since this node may run a newer version than the sender.
@@ -219,7 +231,7 @@
       aSnapshot.FindRoute(NormalizeHost(aRequest.host_), aRequest.method_, aRequest.path_);
     if (route == nullptr || service_.empty() || !HasDestination(*route, service_) ||
         aRequest.service_ != service_) {
-      return behind ? Reason::VersionBehind : Reason::WrongNode;
+      return behind ? Reason::VersionBehind : Reason::ServiceNotHere;
     }
     if (route->access_ == Access::Open) {
       return std::nullopt;
@@ -252,6 +264,38 @@
     }
   }
 
+  /// A refusal by another instance shows that the published instance is no longer at the address,
+  /// unless the published one changed while the request ran.
+  void UpdateReplacement(const OwnedAttempt& aAttempt, BackendResult aResult)
+  {
+    if (aResult == BackendResult::Answered) {
+      replacedUntil_.reset();
+    }
+    if (aResult != BackendResult::OtherInstance || aAttempt.startedAt_ < instanceSince_) {
+      return;
+    }
+    if (!replacedUntil_) {
+      context_.Write(LogEvent("instance_replaced", Severity::Warning).With("instance", instance_));
+    }
+    replacedUntil_ = context_.Now() + kReplacedInstanceRetry;
+    RefuseQueued(Reason::InstanceReplaced);
+  }
+
+  void RefuseQueued(Reason aReason)
+  {
+    std::vector<AttemptId> queued;
+    for (const auto& [id, attempt] : attempts_) {
+      if (attempt.startedAt_ == TimePoint{}) {
+        queued.push_back(id);
+      }
+    }
+    for (const auto& id : queued) {
+      if (admission_.RemoveQueued(id)) {
+        EndAttempt(id, Answer::WithoutContent(Outcome::NotRun, aReason));
+      }
+    }
+  }
+
   void WriteInstance(const BackendServer& aServer, std::uint32_t aSlots, bool aInstanceChanged)
   {
     LogEvent event("instance");
@@ -364,7 +408,8 @@
              Duration aRan = {})
   {
     RecordFinished(aId);
-    const bool acceptsWork = inService_ && acceptsWork_ && !context_.GetMembership().IsLeaving();
+    const bool acceptsWork =
+      inService_ && acceptsWork_ && !replacedUntil_ && !context_.GetMembership().IsLeaving();
     context_.Send(aEntry,
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
@@ -441,6 +486,9 @@
 
   [[nodiscard]] static WorkResult ClassifyEnd(const BackendCompletion& aEnd) noexcept
   {
+    if (aEnd.result_ == BackendResult::OtherInstance) {
+      return WorkResult::Ignored; // says nothing about the load of the instance
+    }
     if (aEnd.result_ != BackendResult::Answered) {
       return WorkResult::Shed;
     }
@@ -469,7 +517,7 @@
       case BackendResult::Shed:
         return Answer::WithoutContent(Outcome::NotRun, Reason::Shed);
       case BackendResult::OtherInstance:
-        return Answer::WithoutContent(Outcome::NotRun, Reason::WrongNode);
+        return Answer::WithoutContent(Outcome::NotRun, Reason::Misdirected);
       case BackendResult::ConnectFailed:
         return Answer::WithoutContent(Outcome::NotRun, Reason::ConnectFailed);
       case BackendResult::Broken:
@@ -488,6 +536,9 @@
   bool inService_ = false;       ///< its failure domain is in service
   bool wasOutOfService_ = false; ///< at any time since this process started
   bool unreachable_ = false;     ///< the last connection to the instance failed
+  TimePoint instanceSince_{};    ///< when the published instance last changed
+  /// Set while another instance seems to have the address; until then no request is sent to it.
+  std::optional<TimePoint> replacedUntil_;
   Duration coldTime_ = kDefaultColdTime;
   std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
--- a/include/geraniumpin/request/outcome.hpp
+++ b/include/geraniumpin/request/outcome.hpp
@@ -29,7 +29,7 @@
   DeadlinePassed,    ///< the deadline passed or cannot be met
   Draining,          ///< the node or backend server is stopping
   OutOfService,      ///< the failure domain of the backend server is out of service
-  WrongNode,         ///< the node does not own the instance, or is a later incarnation
+  WrongNode,         ///< the request was sent to an earlier incarnation of the node
   VersionBehind,     ///< the owner runs an older configuration without the route or key
   BodyTooLarge,      ///< the body exceeds the size limit
   Shed,              ///< the backend server refused the request before running it
@@ -37,9 +37,15 @@
   ConnectionBroken,  ///< the connection to the backend server broke after the request was sent
   PeerSilent,        ///< no contact with the owner node since the attempt was sent
   DuplicateInFlight, ///< a request with the same idempotency key is running
-  Cancelled          ///< the caller closed its connection
+  Cancelled,         ///< the caller closed its connection
+  ServiceNotHere,    ///< the instance of the owner does not serve the route or service
+  Misdirected,       ///< another instance at the address of the expected one refused the request
+  InstanceReplaced   ///< not sent: another instance has refused earlier requests at the address
 };
 
+/// \brief The reason with the highest number, for decoders.
+inline constexpr Reason kLastReason = Reason::InstanceReplaced;
+
 /// \brief Returns true if the instance accepts no requests at all for now.
 ///
 /// False for a full queue and for a single refusal or broken connection of the instance: the load
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -59,7 +59,13 @@
 /// messages while all failure domains are overloaded.
 inline constexpr std::uint32_t kMaxAttemptsWhenBusy = 2;
 
-/// \brief Returns true if an attempt with this result may have reached an instance.
+/// \brief Returns true if an attempt with this result may have arrived at an instance, even at one
+/// that refused it, so that a retry adds load and needs budget.
+[[nodiscard]] bool
+MayHaveArrived(Outcome aOutcome, Reason aReason) noexcept;
+
+/// \brief Returns true if an attempt with this result may have reached the instance that was chosen
+/// for it, so that the instance counts toward the attempts of the route.
 [[nodiscard]] bool
 MayHaveReachedInstance(Outcome aOutcome, Reason aReason) noexcept;
 
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -144,7 +144,7 @@
 Read(const wire::CallReply& aFrom)
 {
   if (aFrom.outcome() > static_cast<std::uint32_t>(Outcome::Unknown) ||
-      aFrom.reason() > static_cast<std::uint32_t>(Reason::Cancelled)) {
+      aFrom.reason() > static_cast<std::uint32_t>(kLastReason)) {
     return std::nullopt;
   }
   return CallReply{ .id_ = Read(aFrom.id()),
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -11,6 +11,8 @@
     case Reason::OutOfService:
     case Reason::ConnectFailed:
     case Reason::PeerSilent:
+    case Reason::Misdirected:
+    case Reason::InstanceReplaced:
       return true;
     default:
       return false;
@@ -81,6 +83,12 @@
       return "duplicate_in_flight";
     case Reason::Cancelled:
       return "cancelled";
+    case Reason::ServiceNotHere:
+      return "service_not_here";
+    case Reason::Misdirected:
+      return "misdirected";
+    case Reason::InstanceReplaced:
+      return "instance_replaced";
   }
   return "invalid";
 }
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -17,6 +17,12 @@
 } // namespace
 } // namespace impl
 
+bool
+MayHaveArrived(Outcome aOutcome, Reason aReason) noexcept
+{
+  return MayHaveReachedInstance(aOutcome, aReason) || aReason == Reason::Misdirected;
+}
+
 bool
 MayHaveReachedInstance(Outcome aOutcome, Reason aReason) noexcept
 {
@@ -56,10 +62,9 @@
   if (busy && aInputs.attempts_ >= kMaxAttemptsWhenBusy) {
     return false;
   }
-  // A retry of an attempt that reached no instance adds no load, so it needs no budget.
-  const bool reachedInstance = MayHaveReachedInstance(aInputs.outcome_, aInputs.reason_);
+  const bool arrived = MayHaveArrived(aInputs.outcome_, aInputs.reason_);
   return safe && aInputs.beforeDeadline_ && aInputs.attempts_ < kMaxAttempts && allowed &&
-         (!reachedInstance || aBudget.AllowsRetry());
+         (!arrived || aBudget.AllowsRetry());
 }
 
 } // namespace geraniumpin
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -572,3 +572,61 @@
   BOOST_TEST(mesh.CountRuns({ 77, 1 }) == 0U);
   BOOST_TEST(mesh.CountRuns({ 77, 2 }) == 1U);
 }
+
+// While the platform was away, instances were replaced at their addresses. Their owners went on
+// sending to the former ones, and each refusal was repeated at once without retry budget.
+BOOST_AUTO_TEST_CASE(requests_to_replaced_instances_are_repeated_within_the_retry_budget)
+{
+  FakeMesh mesh(21);
+  const auto nodes =
+    StartAll(mesh, { .domains_ = 2, .nodesPerDomain_ = 3, .rate_ = 2000, .burst_ = 2000 });
+  mesh.platformDown_ = true;
+  mesh.serviceTime_ = milliseconds(20);
+  const auto& remaining = nodes.back();
+  mesh.getBackendResult_ = [&](const NodeAddress& aNode) {
+    return aNode == remaining ? BackendResult::Answered : BackendResult::OtherInstance;
+  };
+  constexpr std::size_t kCalls = 1000;
+  std::vector<CallId> ids;
+  ids.reserve(kCalls);
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    ids.push_back(mesh.Call(nodes[i % nodes.size()], "", "GET", "/public/x"));
+    mesh.Run(milliseconds(10));
+  }
+  mesh.Run(std::chrono::seconds(1));
+  std::size_t repeats = 0;
+  std::size_t misdirected = 0;
+  for (const auto& id : ids) {
+    BOOST_REQUIRE(mesh.answers_.contains(id));
+    const auto arrivals = mesh.CountRuns(id);
+    repeats += arrivals > 1 ? arrivals - 1 : 0;
+    const bool answered = mesh.answers_.at(id).outcome_ == Outcome::Answered;
+    misdirected += arrivals - (answered ? 1 : 0);
+  }
+  BOOST_TEST(repeats <= kCalls / 5); // the users' bound, without their allowance of a few more
+  // Each owner knows after the first refusal that its instance was replaced, and tries seldom.
+  BOOST_TEST(misdirected <= kCalls / 10);
+}
+
+// An owner that gave up on its instance for good would lose it to one wrong answer.
+BOOST_AUTO_TEST_CASE(an_instance_that_answers_again_after_a_misdirected_request_is_used)
+{
+  FakeMesh mesh(22);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto node = NodeAt(1, 1);
+  const auto call = [&] {
+    const auto id = mesh.Call(node, "", "GET", "/public/x");
+    mesh.Run(milliseconds(50));
+    return mesh.answers_.at(id);
+  };
+  mesh.getBackendResult_ = [](const NodeAddress&) { return BackendResult::OtherInstance; };
+  BOOST_TEST((call().reason_ == Reason::Misdirected));
+  mesh.getBackendResult_ = nullptr;
+  const auto refused = call();
+  BOOST_TEST((refused.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refused.reason_ == Reason::InstanceReplaced));
+  BOOST_TEST(mesh.backendRequests_.size() == 1U);
+  mesh.Run(OwnerService<FakeNodePorts>::kReplacedInstanceRetry);
+  BOOST_TEST((call().outcome_ == Outcome::Answered));
+  BOOST_TEST((call().outcome_ == Outcome::Answered));
+}
--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -114,6 +114,55 @@
   BOOST_TEST(may(Reason::Overloaded, 1));
   BOOST_TEST(!may(Reason::Overloaded, kMaxAttemptsWhenBusy));
   BOOST_TEST(!may(Reason::Shed, 1)); // the instance got it
+  BOOST_TEST(may(Reason::InstanceReplaced, 1));
+  BOOST_TEST(may(Reason::ServiceNotHere, 1));
+}
+
+// Refusals by another instance at the same address were repeated without retry budget.
+BOOST_AUTO_TEST_CASE(each_result_that_may_have_arrived_at_an_instance_needs_budget_for_a_retry)
+{
+  struct Row
+  {
+    Outcome outcome_;
+    Reason reason_;
+    bool arrived_;
+    bool reachedInstance_;
+    bool unavailable_;
+  };
+  const std::vector<Row> rows{
+    { Outcome::Answered, Reason::None, true, true, false },
+    { Outcome::Unknown, Reason::ConnectionBroken, true, true, false },
+    { Outcome::Unknown, Reason::DeadlinePassed, true, true, false },
+    { Outcome::Unknown, Reason::PeerSilent, true, true, true },
+    { Outcome::NotRun, Reason::Shed, true, true, false },
+    { Outcome::NotRun, Reason::Misdirected, true, false, true },
+    { Outcome::NotRun, Reason::InstanceReplaced, false, false, true },
+    { Outcome::NotRun, Reason::ConnectFailed, false, false, true },
+    { Outcome::NotRun, Reason::WrongNode, false, false, false },
+    { Outcome::NotRun, Reason::ServiceNotHere, false, false, false },
+    { Outcome::NotRun, Reason::VersionBehind, false, false, false },
+    { Outcome::NotRun, Reason::Overloaded, false, false, false },
+  };
+  RetryBudget exhausted;
+  while (exhausted.AllowsRetry()) {
+    exhausted = exhausted.AfterRetry();
+  }
+  for (const auto& row : rows) {
+    const RetryInputs inputs{ .outcome_ = row.outcome_,
+                              .failed_ = row.outcome_ == Outcome::Answered,
+                              .reason_ = row.reason_,
+                              .idempotent_ = true,
+                              .beforeDeadline_ = true,
+                              .attempts_ = 1 };
+    BOOST_TEST_CONTEXT(ToString(row.outcome_) << " " << ToString(row.reason_))
+    {
+      BOOST_TEST(MayHaveArrived(row.outcome_, row.reason_) == row.arrived_);
+      BOOST_TEST(MayHaveReachedInstance(row.outcome_, row.reason_) == row.reachedInstance_);
+      BOOST_TEST(IsInstanceUnavailable(row.reason_) == row.unavailable_);
+      BOOST_TEST(MayRetry(inputs, RetryBudget{}));
+      BOOST_TEST(MayRetry(inputs, exhausted) == !row.arrived_);
+    }
+  }
 }
 
 BOOST_AUTO_TEST_CASE(requests_stay_in_the_local_failure_domain_until_it_is_busy)
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -249,6 +249,8 @@
   /// empty.
   std::function<ItemsRead(const std::string&)> makePage_;
   Duration serviceTime_ = milliseconds(5);
+  /// How an exchange with the backend server of a node ends; Answered if empty.
+  std::function<BackendResult(const NodeAddress&)> getBackendResult_;
   std::map<CallId, Answer> answers_;
   std::multimap<CallId, TimePoint> runs_;
   std::vector<std::pair<TimePoint, Envelope>> sent_;
@@ -374,8 +376,10 @@
     if (mesh_.cancelled_.contains(id)) {
       return;
     }
+    const auto result =
+      mesh_.getBackendResult_ ? mesh_.getBackendResult_(self_) : BackendResult::Answered;
     const BackendCompletion end{ .id_ = id,
-                                 .result_ = BackendResult::Answered,
+                                 .result_ = result,
                                  .status_ = 200,
                                  .headers_ = {},
                                  .body_ = MakeBody("answer to " + ToString(id.call_)) };
