While the platform fails, reads of its changes return at once

Cause: a watch is given 3.7 s, also while the platform is known to fail. All nodes had a watch in flight that a platform that was away never received; it came back, confirmed five versions, and had no call of any node for 2.6 s. Backoff of up to 1 s came on top.

Change: after a failed read the next ones ask for the changes without waiting, with a timeout of 1.3 s, and the backoff counts from the start of the read. So at most 1.45 s pass between two reads. The fake platform of the scenarios follows wait_ms, as the interface says.

Evidence: while_the_platform_is_silent_it_is_read_often_enough_to_notice_its_return failed on the code before, passes now.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -32,8 +32,9 @@
   /// Range of the random delay that spreads the first reads of nodes that start together.
   static constexpr std::chrono::milliseconds kStartJitter{ 300 };
   static constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
-  /// Longest pause after failures of a watcher; together with the timeout of a read it stays below
-  /// the bound for applying a version once the platform answers again.
+  /// Longest time between the starts of two reads of a watcher after failures, apart from
+  /// kMinReadInterval, unless a read takes longer; it stays below the bound for applying a version
+  /// once the platform answers again.
   static constexpr std::chrono::milliseconds kMaxBackoff{ 1000 };
   /// Longest pause after failures of a backup watcher, so that during an outage not all nodes read
   /// the platform.
@@ -46,6 +47,8 @@
   static constexpr std::chrono::milliseconds kWatchWait{ 3000 };
   /// Timeout of a read; that of a watch is longer by kWatchWait.
   static constexpr std::chrono::milliseconds kReadTimeout{ 700 };
+  /// Timeout of a read of the changes after a failure, which does not wait for changes.
+  static constexpr std::chrono::milliseconds kRetryReadTimeout{ 1300 };
   /// Time without an answer after which published instances may have expired although they run.
   static constexpr std::chrono::milliseconds kExpiryOutage{ 3000 };
   /// Grace period in which expired instances can be published again.
@@ -142,8 +145,10 @@
       readDeadline_ = aNow + kReadTimeout;
       context_.Ports().source_.ReadItems(listing_->afterKey_);
     } else {
-      readDeadline_ = aNow + kWatchWait + kReadTimeout;
-      context_.Ports().source_.WatchItems(revision_, kWatchWait);
+      // A watch that the platform did not receive would hide its return for as long as it waits.
+      const auto wait = failing_ ? Duration{} : Duration(kWatchWait);
+      readDeadline_ = aNow + (failing_ ? kRetryReadTimeout : kWatchWait + kReadTimeout);
+      context_.Ports().source_.WatchItems(revision_, wait);
     }
   }
 
@@ -369,7 +374,9 @@
   {
     context_.GetMetrics().Count("platform_read_failures");
     auto& backoff = context_.ComputeWatcherRank().IsWatcher() ? backoff_ : backupBackoff_;
-    nextRead_ = context_.Now() + kMinReadInterval + backoff.Draw(context_.Ports().random_);
+    // The time in which a read had no answer is part of the pause.
+    nextRead_ = std::max(context_.Now(), readSentAt_ + backoff.Draw(context_.Ports().random_)) +
+                kMinReadInterval;
     backoff = backoff.AfterFailure();
     if (!std::exchange(failing_, true)) {
       context_.Write(LogEvent("platform_lost", Severity::Warning)
--- a/tests/process/platform_reader_test.cpp
+++ b/tests/process/platform_reader_test.cpp
@@ -155,3 +155,28 @@
   Advance(PlatformReader<ReaderPorts>::kExpiryGrace);
   BOOST_TEST(!IsPublished(kOther));
 }
+
+// A watch that was sent while the platform was away waited into its return, so no node learned of
+// a confirmed version for up to 4.8 s.
+BOOST_FIXTURE_TEST_CASE(while_the_platform_is_silent_it_is_read_often_enough_to_notice_its_return,
+                        Fixture)
+{
+  using Reader = PlatformReader<ReaderPorts>;
+  constexpr std::chrono::seconds kBound{ 2 }; // for applying a version once the platform answers
+  constexpr milliseconds kSlowAnswer{ 500 };
+  const auto countReads = [&] { return context_.GetMetrics().Counters().at("platform_reads"); };
+  Advance(Reader::kWatchWait + Reader::kReadTimeout + milliseconds(300));
+  auto reads = countReads();
+  auto lastReadAt = mesh_.clock_.Now();
+  Duration longestPause{};
+  const auto end = lastReadAt + std::chrono::seconds(60);
+  while (mesh_.clock_.Now() < end) {
+    Advance(milliseconds(10));
+    if (countReads() > reads) {
+      longestPause = std::max(longestPause, mesh_.clock_.Now() - lastReadAt);
+      reads = countReads();
+      lastReadAt = mesh_.clock_.Now();
+    }
+  }
+  BOOST_TEST((longestPause + kSlowAnswer < kBound));
+}
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -85,7 +85,12 @@
     const auto after = isWatch ? std::stoull(QueryParameter(aRequest.path_, "after")) : 0;
     const auto now = clock_.Now();
     const auto notBefore = mode_ == "slow" ? now + kSlowDelay : now;
-    const auto until = isWatch ? std::max(notBefore, now + kWatchTimeout) : notBefore;
+    const auto wait =
+      isWatch
+        ? std::min(kWatchTimeout,
+                   std::chrono::milliseconds(std::stoll(QueryParameter(aRequest.path_, "wait_ms"))))
+        : std::chrono::milliseconds(0);
+    const auto until = std::max(notBefore, now + wait);
     AnswerOrDefer({ aId, isWatch, after, until, notBefore });
   }
 
