A refusal by configuration says which version decided and how old the last read is

Change: event config_refusal with the version, the age of the last read of the platform by any node known and by this one, and whether this node's reads fail.

Evidence: node_test checks the line of a request with a wrong key.

--- a/include/geraniumpin/connection/config_watch.hpp
+++ b/include/geraniumpin/connection/config_watch.hpp
@@ -38,6 +38,16 @@
   std::string detail_;         ///< why it failed; for logs
 };
 
+/// \brief How recent the configuration of a node is; logged with refusals that it causes.
+struct ReadState
+{
+  Duration platformAge_{}; ///< since this node or a peer that reported last read the platform
+  Duration ownAge_{};      ///< since this node last read it
+  bool failing_ = false;   ///< the last read of this node failed
+
+  auto operator<=>(const ReadState&) const = default;
+};
+
 /// \brief Reads the platform; each read ends with one ItemsRead at the node unless it is cancelled.
 template<class S>
 concept ConfigSource =
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/config_watch.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/instance_load_table.hpp"
 #include "geraniumpin/process/node_context.hpp"
@@ -53,7 +54,8 @@
   }
 
   /// \brief Serves a request of a caller; the answer is sent through the caller port.
-  void OnCall(const Call& aCall, ConfigFreshness aFreshness)
+  /// \param aReadState Logged if the configuration does not allow the request.
+  void OnCall(const Call& aCall, ConfigFreshness aFreshness, const ReadState& aReadState)
   {
     context_.GetMetrics().Count("calls");
     if (aCall.isAbandoned_) {
@@ -77,6 +79,7 @@
                                 ComputeKeyDigest(aCall, tokenContext),
                                 aFreshness);
     if (!decision) {
+      WriteConfigRefusal(aCall, decision.error(), aReadState);
       Refuse(aCall, decision.error());
       return;
     }
@@ -554,6 +557,18 @@
     aCall.superseded_.reset();
   }
 
+  void WriteConfigRefusal(const Call& aCall, Reason aReason, const ReadState& aReadState)
+  {
+    context_.Write(LogEvent("config_refusal", Severity::Warning)
+                     .With("call", ToString(aCall.id_))
+                     .With("request", aCall.requestId_)
+                     .With("reason", ToString(aReason))
+                     .With("version", context_.Versions().CurrentId().number_)
+                     .With("platform_age_ms", Milliseconds(aReadState.platformAge_))
+                     .With("own_age_ms", Milliseconds(aReadState.ownAge_))
+                     .With("read_failing", aReadState.failing_));
+  }
+
   void Refuse(const Call& aCall, Reason aReason)
   {
     const auto answer = Answer::WithoutContent(Outcome::NotRun, aReason);
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -48,7 +48,7 @@
   {
     OnTurnEvent();
     ++turn_.calls_;
-    entry_.OnCall(aCall, gossip_.EvaluateFreshness());
+    entry_.OnCall(aCall, gossip_.EvaluateFreshness(), reader_.GetReadState());
     DeliverLocalMessages();
   }
 
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -129,6 +129,12 @@
     return expiredKeys_.empty() ? next : std::min(next, graceEndsAt_);
   }
   [[nodiscard]] Duration PlatformAge() const { return lastContact_.Age(context_.Now()); }
+  [[nodiscard]] ReadState GetReadState() const
+  {
+    return { .platformAge_ = PlatformAge(),
+             .ownAge_ = context_.Now() - lastAnswerAt_,
+             .failing_ = failing_ };
+  }
   [[nodiscard]] bool IsWatcher() const { return ShouldWatch(context_.Now()); }
   /// \brief Returns true if this process has read a complete configuration from the platform.
   [[nodiscard]] bool HasRead() const noexcept { return hasRead_; }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -68,6 +68,7 @@
   BOOST_TEST((mesh.answers_.at(none).reason_ == Reason::KeyMissing));
   BOOST_TEST((mesh.answers_.at(wrong).reason_ == Reason::KeyUnknown));
   BOOST_TEST(mesh.runs_.empty());
+  BOOST_TEST(HasLine(mesh.GetLog(NodeAt(1, 1)), "reason=key_unknown version=1 platform_age_ms="));
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_refuses_a_withdrawn_key_before_the_entry_node_has_the_version)
