A connection to the platform that became silent is replaced within three seconds

The first watch that a silent connection, or a short outage, swallows was given 3.7 s, and its node knew nothing of newer versions for up to 4 s.

Change: a watch waits 1.8 s, so that with its timeout and the pause 2.65 s pass at most. An idle node reads the platform once in 1.95 s instead of 3.15 s. The test of reads after a failure counted the first watch too; it counts from the failure now.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -43,8 +43,9 @@
   static constexpr std::chrono::milliseconds kMinReadInterval{ 150 };
   /// Period in which a node that does not watch checks whether it should.
   static constexpr std::chrono::milliseconds kWatchCheckPeriod{ 200 };
-  /// Time for which one watch waits; short enough to detect an unresponsive connection.
-  static constexpr std::chrono::milliseconds kWatchWait{ 3000 };
+  /// Time for which one watch waits. With kReadTimeout and kMinReadInterval it stays below the
+  /// three seconds in which a node must have recovered from a connection that became silent.
+  static constexpr std::chrono::milliseconds kWatchWait{ 1800 };
   /// Timeout of a read; that of a watch is longer by kWatchWait.
   static constexpr std::chrono::milliseconds kReadTimeout{ 700 };
   /// Timeout of a read of the changes after a failure, which does not wait for changes.
--- a/tests/process/platform_reader_test.cpp
+++ b/tests/process/platform_reader_test.cpp
@@ -156,16 +156,32 @@
   BOOST_TEST(!IsPublished(kOther));
 }
 
+// A connection that became silent hid the changes of the platform for up to 4 s.
+BOOST_FIXTURE_TEST_CASE(a_watch_without_answer_is_replaced_in_time, Fixture)
+{
+  constexpr std::chrono::seconds kBound{ 3 }; // for recovering from a silent connection
+  constexpr milliseconds kAnswerAndApply{ 200 };
+  Advance(milliseconds(300)); // the watch is sent
+  const auto sentAt = mesh_.clock_.Now();
+  const auto countReads = [&] { return context_.GetMetrics().Counters().at("platform_reads"); };
+  const auto reads = countReads();
+  while (countReads() == reads) {
+    Advance(milliseconds(10));
+  }
+  BOOST_TEST((mesh_.clock_.Now() - sentAt + kAnswerAndApply < kBound));
+}
+
 // A watch that was sent while the platform was away waited into its return, so no node learned of
 // a confirmed version for up to 4.8 s.
 BOOST_FIXTURE_TEST_CASE(while_the_platform_is_silent_it_is_read_often_enough_to_notice_its_return,
                         Fixture)
 {
-  using Reader = PlatformReader<ReaderPorts>;
   constexpr std::chrono::seconds kBound{ 2 }; // for applying a version once the platform answers
   constexpr milliseconds kSlowAnswer{ 500 };
   const auto countReads = [&] { return context_.GetMetrics().Counters().at("platform_reads"); };
-  Advance(Reader::kWatchWait + Reader::kReadTimeout + milliseconds(300));
+  while (!reader_.GetReadState().failing_) {
+    Advance(milliseconds(10));
+  }
   auto reads = countReads();
   auto lastReadAt = mesh_.clock_.Now();
   Duration longestPause{};
