--- a/src/adapters/connection/json_platform.cpp
+++ b/src/adapters/connection/json_platform.cpp
@@ -1,5 +1,7 @@
 #include "json_platform.hpp"
 
+#include "../version/json_parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace geraniumpin {
@@ -26,7 +28,11 @@
   if (aResponse.status_ != 200) {
     return { .detail_ = "status " + std::to_string(aResponse.status_) };
   }
-  const auto root = nlohmann::json::parse(*aResponse.body_, nullptr, false);
+  const auto parsed = ParseJson(*aResponse.body_);
+  if (!parsed) {
+    return { .detail_ = parsed.error() };
+  }
+  const auto& root = *parsed;
   try {
     ItemsRead read{ .result_ = ReadResult::Complete,
                     .hasMore_ = root.at("more").get<bool>(),
--- a/src/adapters/version/document_json.cpp
+++ b/src/adapters/version/document_json.cpp
@@ -3,6 +3,7 @@
 #include "deflate.hpp"
 #include "document_schema.hpp"
 #include "geraniumpin/version/part_split.hpp"
+#include "json_parse.hpp"
 #include "json_text.hpp"
 
 #include <algorithm>
@@ -432,11 +433,14 @@
   // Parts come from nodes that validated the whole document; here only their form is checked, since
   // validation against the schema would take most of the time of applying a version.
   try {
-    const auto root = nlohmann::json::parse(aText);
-    if (const auto* fault = impl::FindBadAddress(aName, root)) {
+    const auto root = ParseJson(aText);
+    if (!root) {
+      return refuse(root.error().c_str());
+    }
+    if (const auto* fault = impl::FindBadAddress(aName, *root)) {
       return refuse(fault);
     }
-    return std::make_shared<const PartValue>(impl::ParsePart(aName, root));
+    return std::make_shared<const PartValue>(impl::ParsePart(aName, *root));
   } catch (const nlohmann::json::exception& error) {
     return refuse(error.what());
   }
@@ -451,10 +455,11 @@
 std::optional<VmList>
 ParseVmList(std::string_view aText)
 {
-  const auto root = nlohmann::json::parse(aText, nullptr, false);
-  if (!root.is_object() || !root.value("vms", nlohmann::json()).is_array()) {
+  const auto parsed = ParseJson(aText);
+  if (!parsed || !parsed->is_object() || !parsed->value("vms", nlohmann::json()).is_array()) {
     return std::nullopt;
   }
+  const auto& root = *parsed;
   VmList list;
   for (const auto& item : root.at("vms")) {
     const auto node = NodeAddress::Parse(item.value("node", std::string()));
--- a/src/adapters/version/json_text.cpp
+++ b/src/adapters/version/json_text.cpp
@@ -1,5 +1,7 @@
 #include "json_text.hpp"
 
+#include "json_parse.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -254,6 +256,14 @@
   JsonText result;
   result.source_ = std::move(aSource);
   result.text_ = aText;
+  if (IsNestedTooDeep(aText)) {
+    return tl::make_unexpected(
+      Faults{ { .source_ = result.source_,
+                .path_ = "",
+                .position_ = {},
+                .description_ = "expected fewer nested levels",
+                .found_ = "more than " + std::to_string(kMaxJsonDepth) } });
+  }
   result.root_ = nlohmann::json::parse(aText, nullptr, false);
   if (!result.root_.is_discarded()) {
     return result;
--- a/tests/platform/store_items_test.cpp
+++ b/tests/platform/store_items_test.cpp
@@ -134,6 +134,58 @@
   BOOST_TEST(refused(with("/born", 1.5)));
 }
 
+// An entry of another writer ended the process of each node that read it.
+BOOST_AUTO_TEST_CASE(deeply_nested_items_are_refused)
+{
+  for (const std::size_t depth : { 100U, 50'000U, 2'000'000U }) {
+    for (const auto& [open, close] : { std::pair{ "[", "]" }, std::pair{ R"({"a":)", "}" } }) {
+      std::string nested;
+      for (std::size_t i = 0; i < depth; ++i) {
+        nested += open;
+      }
+      nested += "1";
+      for (std::size_t i = 0; i < depth; ++i) {
+        nested += close;
+      }
+      for (const std::string field : { "1772798762052", "9}", "\"ready\"" }) {
+        auto text = kInstance;
+        const auto rest = field == "9}" ? "}" : "";
+        text.replace(text.find(field), field.size(), nested + rest);
+        const auto refused = kDecoder.Decode("servers/i-1", text);
+        BOOST_REQUIRE(!refused.has_value());
+        BOOST_TEST(ToString(refused.error().front()).size() < 500U);
+      }
+      BOOST_TEST(!kDecoder.Decode("op/config", nested).has_value());
+      BOOST_TEST((StoreProtocol::Parse({ .status_ = 200, .body_ = MakeBody(nested) }).result_ ==
+                  ReadResult::Failed));
+    }
+  }
+}
+
+// A capacity of 4294967297 became 1, and the result of a time out of range was undefined.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_refused)
+{
+  const auto isRefused =
+    [](const std::string& aKey, std::string aText, const std::string& aFrom, const char* aTo) {
+      aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+      return !kDecoder.Decode(aKey, aText).has_value();
+    };
+  for (const auto* capacity : { "4294967297", "65536", "18446744073709551616", "1e999", "1e3" }) {
+    BOOST_TEST(isRefused("servers/i-1", kInstance, "9}", (std::string(capacity) + "}").c_str()),
+               capacity);
+  }
+  for (const auto* time : { "99999999999999999999s", "nans", "infs", "1e300ms", "-1s" }) {
+    BOOST_TEST(isRefused("servers/i-1", kInstance, "0ms", time), time);
+  }
+  BOOST_TEST(isRefused("servers/i-1", kInstance, "1772798762052", "18446744073709551615"));
+  BOOST_TEST(isRefused("servers/i-1", kInstance, ":8080", ":99999"));
+  for (const auto* field : { R"("weight":90)", R"("attempts":2)", R"("max_connections":120)" }) {
+    const std::string name(field, std::string_view(field).find(':') + 1);
+    BOOST_TEST(isRefused("op/config", kConfig, field, (name + "4294967297").c_str()), field);
+    BOOST_TEST(isRefused("op/config", kConfig, field, (name + "-1").c_str()), field);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(mutated_items_are_refused_or_translated_but_never_end_the_process)
 {
   std::mt19937 random(1);
