A repeated attempt uses a connection on which no response to its request can be late

Cause: the echoed request id tells responses to other requests apart, not those to an earlier attempt of the same one. A request that an instance refused may be sent to it again (attempts when shed), on the same kept connection; a refusal that the instance writes once more would then end the second attempt as not run while it runs.

Change: HttpClient can be told to use a new connection, and the owner asks for it if an earlier attempt of the request was sent from this node.

Evidence: a_repeated_refusal_is_not_taken_for_the_response_to_the_next_attempt failed on the code before (the second attempt went out on the first connection). Two further reports do not happen here, shown by tests that passed at once: a refusal of another request written once more is dropped by its id, and a response that ends at any byte of its head, by close or reset, is Broken.

--- a/include/geraniumpin/connection/backend_connection.hpp
+++ b/include/geraniumpin/connection/backend_connection.hpp
@@ -30,6 +30,8 @@
   const Body body_;
   const std::string callToken_; ///< authenticates further calls of the backend server for the team
   const Duration remaining_{};  ///< time until the deadline
+  /// An earlier attempt of the request may have been sent with the same request id.
+  const bool isRepeated_ = false;
 };
 
 /// \brief How an exchange with the backend server ended.
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -356,7 +356,17 @@
                                       .headers_ = request.headers_,
                                       .body_ = request.body_,
                                       .callToken_ = std::move(token),
-                                      .remaining_ = attempt.deadline_ - now });
+                                      .remaining_ = attempt.deadline_ - now,
+                                      .isRepeated_ = HasEarlierAttempt(aId) });
+  }
+
+  [[nodiscard]] bool HasEarlierAttempt(const AttemptId& aId) const
+  {
+    const AttemptId first{ aId.call_, 0 };
+    const auto finished = finished_.lower_bound(first);
+    const auto pending = attempts_.lower_bound(first);
+    return (finished != finished_.end() && *finished < aId && finished->call_ == aId.call_) ||
+           (pending != attempts_.end() && pending->first < aId);
   }
 
   void ExecuteActions(const AdmissionActions<AttemptId>& aActions)
--- a/src/adapters/connection/backend_client.cpp
+++ b/src/adapters/connection/backend_client.cpp
@@ -89,10 +89,12 @@
   const auto echoedHeader = aRequest.requestId_.empty()
                               ? EchoedHeader{}
                               : EchoedHeader{ names_.requestId_, aRequest.requestId_ };
-  exchanges_[id] =
-    client_.Start(backendServer_, request, echoedHeader, [this, id](const HttpResult& aResult) {
-      OnEnd(id, aResult);
-    });
+  exchanges_[id] = client_.Start(
+    backendServer_,
+    request,
+    echoedHeader,
+    [this, id](const HttpResult& aResult) { OnEnd(id, aResult); },
+    aRequest.isRepeated_ ? ConnectionUse::New : ConnectionUse::Any);
 }
 
 void
--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -136,11 +136,12 @@
   ClientExchangeId Start(const NodeAddress& aServer,
                          const HttpRequest& aRequest,
                          const EchoedHeader& aEchoedHeader,
-                         Callback aDone)
+                         Callback aDone,
+                         ConnectionUse aUse)
   {
     loop_.SkipSleep();
     const auto id = nextId_++;
-    auto* connection = TakeIdleConnection(aServer);
+    auto* connection = aUse == ConnectionUse::Any ? TakeIdleConnection(aServer) : nullptr;
     if (connection == nullptr) {
       connection = Connect(aServer);
     }
@@ -507,9 +508,10 @@
 HttpClient::Start(const NodeAddress& aServer,
                   const HttpRequest& aRequest,
                   const EchoedHeader& aEchoedHeader,
-                  Callback aDone)
+                  Callback aDone,
+                  ConnectionUse aUse)
 {
-  return impl_->Start(aServer, aRequest, aEchoedHeader, std::move(aDone));
+  return impl_->Start(aServer, aRequest, aEchoedHeader, std::move(aDone), aUse);
 }
 
 void
--- a/src/adapters/connection/http_client.hpp
+++ b/src/adapters/connection/http_client.hpp
@@ -33,6 +33,13 @@
   std::string value_;
 };
 
+/// \brief Which connections an exchange may use.
+enum class ConnectionUse
+{
+  Any, ///< an idle connection, or else a new one
+  New  ///< for a repeated request: its echoed field may be in a late response on an earlier one
+};
+
 /// \brief Identifies an exchange of an HttpClient.
 using ClientExchangeId = std::uint64_t;
 
@@ -72,7 +79,8 @@
   ClientExchangeId Start(const NodeAddress& aServer,
                          const HttpRequest& aRequest,
                          const EchoedHeader& aEchoedHeader,
-                         Callback aDone);
+                         Callback aDone,
+                         ConnectionUse aUse = ConnectionUse::Any);
 
   /// \brief Cancels an exchange that has not ended, and closes its connection.
   void Cancel(ClientExchangeId aId);
--- a/tests/connection/backend_client_test.cpp
+++ b/tests/connection/backend_client_test.cpp
@@ -5,6 +5,7 @@
 #include "../support/scripted_server.hpp"
 
 #include <boost/test/included/unit_test.hpp>
+#include <functional>
 #include <optional>
 
 using namespace geraniumpin;
@@ -76,3 +77,50 @@
   BOOST_TEST(
     (GetBackendResult(users, "421 Misdirected Request", field) == BackendResult::OtherInstance));
 }
+
+// A backend server wrote an earlier refusal once more on a kept connection, and it was taken for
+// the response to the second attempt of the same request, which was running.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_is_not_taken_for_the_response_to_the_next_attempt)
+{
+  const HeaderNames names;
+  SystemClock clock;
+  EventLoop loop;
+  ScriptedServer server;
+  HttpClient http(loop, { milliseconds(4000), 1U << 20U });
+  std::optional<BackendResult> result;
+  BackendClient client(
+    http, server.Address(), names, [&](const BackendCompletion& aEnd) { result = aEnd.result_; });
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n" + names.requestId_ +
+                              ": r1\r\nnot-started: true\r\ncontent-length: 0\r\n\r\n";
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\n" + names.requestId_ + ": r1\r\ncontent-length: 0\r\n\r\n";
+  const auto run = [&](const std::function<bool()>& aUntil) {
+    for (int i = 0; i < 400 && !aUntil(); ++i) {
+      loop.RunOnce(clock.Now() + milliseconds(5));
+      server.Accept();
+    }
+  };
+  const auto start = [&](std::uint32_t aAttempt) {
+    result.reset();
+    client.Start({ .id_ = { { 1, 1 }, aAttempt },
+                   .requestId_ = "r1",
+                   .method_ = "POST",
+                   .host_ = "shop.example",
+                   .path_ = "/x",
+                   .body_ = MakeBody(""),
+                   .remaining_ = milliseconds(1000),
+                   .isRepeated_ = aAttempt > 1 });
+    run([&] { return server.Read().find("\r\n\r\n") != std::string::npos; });
+  };
+  start(1);
+  server.Write(refusal);
+  run([&] { return result.has_value(); });
+  BOOST_TEST((result == BackendResult::Shed));
+  start(2);
+  BOOST_TEST(server.AcceptedCount() == 2);
+  run([&] { return result.has_value(); });
+  BOOST_TEST(!result.has_value());
+  server.Write(answer);
+  run([&] { return result.has_value(); });
+  BOOST_TEST((result == BackendResult::Answered));
+}
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -194,3 +194,44 @@
   BOOST_REQUIRE(end.has_value());
   BOOST_TEST((*end == HttpOutcome::ConnectFailed));
 }
+
+// A server that stops within the head of its response must not seem to have answered.
+BOOST_FIXTURE_TEST_CASE(a_response_that_ends_within_its_head_is_broken, Fixture)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nid: a\r\nconnection: close\r\n\r\n";
+  for (const bool reset : { false, true }) {
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      const auto result = Send("a");
+      if (length > 0) {
+        server_.Write(head.substr(0, length));
+      }
+      RunLoop(1);
+      reset ? server_.ResetConnection() : server_.CloseConnection();
+      RunLoop(3);
+      BOOST_REQUIRE_MESSAGE(result->has_value(), length);
+      BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken), length);
+    }
+  }
+}
+
+// A refusal of an earlier request that is written once more belongs to no later request.
+BOOST_FIXTURE_TEST_CASE(a_repeated_refusal_of_an_earlier_request_is_dropped, Fixture)
+{
+  const auto refuse = [](const std::string& aId) {
+    return "HTTP/1.1 503 Service Unavailable\r\nid: " + aId +
+           "\r\nnot-started: true\r\ncontent-length: 0\r\n\r\n";
+  };
+  const auto first = Send("a");
+  server_.Write(refuse("a"));
+  RunLoop(10);
+  BOOST_TEST((*first)->response_.status_ == 503);
+  const auto second = Send("b");
+  server_.Write(refuse("a"));
+  RunLoop(10);
+  BOOST_TEST(!second->has_value());
+  server_.Write(AnswerTo("b", "yours"));
+  RunLoop(10);
+  BOOST_REQUIRE(second->has_value());
+  BOOST_TEST((*second)->response_.status_ == 200);
+  BOOST_TEST(server_.AcceptedCount() == 1);
+}
