Soak and scenario of a platform that loses reads

Change: the fake platform has the mode "silent", in which it loses all reads. scenario_platform_silent publishes a version when it returns; scenario_soak_platform kills all nodes at once, single nodes and backend servers beside silences that end with a storm of versions, and checks that each node without fault runs a version 2 s after its publication. The body of scenario_soak moved into the library.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -8,6 +8,8 @@
 local STOP_SLACK_MS = 1000  -- beyond the drain timeout
 local STOP_WORK_MS = 500    -- after its caller left, no request starts at a backend server
 
+local APPLY_BOUND_MS = 2000 -- a version is in force this long after its publication
+
 local EXIT_BY_SIGTERM = 143 -- of a process that has not begun to handle signals
 
 local Soak = {}
@@ -21,13 +23,13 @@
   { "hang", 3 }, { "slow", 2 }, { "refuse", 2 }, { "kill_backend", 1 }, { "pause_backend", 2 },
 }
 
-local function draw_kind()
+local function draw_kind(weights)
   local total = 0
-  for _, entry in ipairs(WEIGHTS) do
+  for _, entry in ipairs(weights) do
     total = total + entry[2]
   end
   local drawn = math.random(1, total)
-  for _, entry in ipairs(WEIGHTS) do
+  for _, entry in ipairs(weights) do
     drawn = drawn - entry[2]
     if drawn <= 0 then
       return entry[1]
@@ -35,7 +37,7 @@
   end
 end
 
--- options: steps, vms (of each failure domain)
+-- options: steps, vms (of each failure domain), weights (of the faults, by default WEIGHTS)
 function new_soak(mesh, options)
   math.randomseed(SEED)
   local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, stops = {},
@@ -44,7 +46,7 @@
   for _ = 1, options.steps do
     at = at + math.random(100, 1100)
     table.insert(soak.plan, {
-      at = at, kind = draw_kind(), domain = math.random(1, 3), index = math.random(2, options.vms),
+      at = at, kind = draw_kind(options.weights or WEIGHTS), domain = math.random(1, 3), index = math.random(2, options.vms),
       other_domain = math.random(1, 3), duration = math.random(300, 4000),
       restart_ms = math.random(0, 1500), number = math.random(1, 1000000),
     })
@@ -106,7 +108,7 @@
   vm.starts_before = count_starts(vm)
   vm.incarnation = vm.incarnation + 1
   self.mesh:start_node(vm)
-  vm.state = "up"
+  vm.state, vm.started_at = "up", now_ms()
   vm.drain_ms = self.mesh:settings(vm).drain_timeout_ms
   if ends_fault then
     ends_fault()
@@ -257,6 +259,53 @@
   return mode
 end
 
+-- Kills all nodes but those without faults at the same time.
+function faults.herd(soak, step)
+  for _, vm in ipairs(soak.mesh.vms) do
+    local domain, index = vm.name:match("^vm%-(%d+)%-(%d+)$")
+    if index ~= "1" then
+      faults.kill(soak, { domain = domain, index = index, restart_ms = step.restart_ms })
+    end
+  end
+end
+
+-- The platform loses all reads for some time; after its return it publishes a storm of versions.
+function faults.silence(soak, step)
+  if soak.silent_since then
+    return "skipped"
+  end
+  soak.silent_since = now_ms()
+  soak.mesh:control("mode?mode=silent")
+  soak:after(500 + 2 * step.duration, function()
+    soak.mesh:control("mode?mode=up")
+    soak.silent_since = nil
+    for i = 0, step.number % 6 do
+      soak:after(i * 260, function()
+        soak:publish(step.number % 100 + i)
+        local version, published_at = soak.mesh.version, now_ms()
+        soak:after(APPLY_BOUND_MS, function() soak:check_applied(version, published_at) end)
+      end)
+    end
+  end)
+end
+
+-- Each node that was without fault runs the version, unless the platform has become silent since.
+function Soak:check_applied(version, published_at)
+  if self.silent_since then
+    return
+  end
+  for _, vm in ipairs(self.mesh.vms) do
+    local settled = (vm.started_at or 0) < published_at - CONTACT_MS
+    local calm = vm.state == "up" and (vm.paused or 0) == 0 and settled and
+                 self:is_calm(vm, published_at, now_ms())
+    local status = calm and self.mesh:status(vm)
+    if status and status.version < version then
+      self:fail("CONFIG " .. vm.name .. " runs " .. status.version .. " and not " .. version .. ", " ..
+                now_ms() - published_at .. " ms after its publication")
+    end
+  end
+end
+
 -- Changes a backend server for some time. Requests under way when it recovers are not resumed.
 local function control_backend(on, off)
   return function(soak, step)
@@ -485,3 +534,54 @@
     end
   end
 end
+
+local STEPS = tonumber(os.getenv("SOAK_STEPS") or "") or 40
+local VMS = tonumber(os.getenv("SOAK_VMS") or "") or 4
+
+-- Timeout of the routes and drain timeout; the seed chooses.
+local TIMEOUTS = { { 4000, 5000 }, { 2000, 10000 }, { 3000, 5000 }, { 5000, 5000 } }
+
+-- Runs the schedule of the seed on a mesh under load and fails if a check does.
+-- options: base (of the mesh), weights (of the faults, by default WEIGHTS)
+function run_soak(options)
+  local timeout_ms, drain_timeout_ms = table.unpack(TIMEOUTS[(SEED - 1) % #TIMEOUTS + 1])
+  local mesh = new_mesh{ base = options.base, vms = VMS, rate = 5000, burst = 5000, relays = true,
+                         timeout_ms = timeout_ms, drain_timeout_ms = drain_timeout_ms,
+                         backend = { "--service-us", "5000", "--log-runs" } }
+  mesh.options.platform_address_of = function(vm) return mesh:platform_address(vm) end
+  mesh:start()
+  local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights })
+
+  -- The first VM of each failure domain gets no faults; its load tells whether the mesh serves.
+  local entry_vms = { mesh:vm("vm-1-1"), mesh:vm("vm-2-1"), mesh:vm("vm-3-1") }
+  for i, vm in ipairs(entry_vms) do
+    mesh:start_load("load-" .. i, vm, "obra",
+              { "--method", "POST", "--path", "/laudos/", "--body-bytes", 200,
+                "--count", soak.duration_ms * 150 // 1000, "--rate", 150, "--concurrency", 200,
+                "--tag-prefix", "order-" .. i .. "-" })
+  end
+  mesh:start_clients("clients", mesh.vms, "obra",
+    { "--seed", SEED, "--clients", 5, "--timeout-ms", timeout_ms, "--think-ms", 25 * VMS })
+
+  soak:run()
+  local recovered_at = soak:check_recovery()
+  sleep_ms(6000)
+  local ends = stop_clients("clients", 15000)
+  print("clients: " .. encode(count_kinds(ends)))
+  soak:check_requests(ends)
+  soak:check_served(ends, recovered_at)
+
+  local answered, total, not_run = wait_loads(3, 120000)
+  local runs_by_tag = {}
+  for _, vm in ipairs(mesh.vms) do
+    for _, run in ipairs(mesh:read_runs(vm)) do
+      runs_by_tag[run.tag] = (runs_by_tag[run.tag] or 0) + 1
+    end
+  end
+  for tag, count in pairs(runs_by_tag) do
+    check(count == 1 or not tag:find("^order"), tag .. " ran " .. count .. " times")
+    check(not not_run[tag], tag .. " ran, and its caller was told that it did not")
+  end
+  check(answered > 0.5 * total, "only " .. answered .. " of " .. total .. " were answered")
+  check(#soak.failures == 0, soak:summary())
+end
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -98,6 +98,9 @@
   void AnswerOrDefer(const PendingRead& aRead)
   {
     const auto now = clock_.Now();
+    if (mode_ == "silent") {
+      return; // the read is lost, also after the mode has changed
+    }
     if (mode_ == "down") {
       Respond(aRead.id_, 503, "");
       return;
