--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -631,3 +631,39 @@
   BOOST_TEST((call().outcome_ == Outcome::Answered));
   BOOST_TEST((call().outcome_ == Outcome::Answered));
 }
+
+// An owner that sends a second attempt of a request must tell the client of its backend server,
+// since a late response to the first one has the same request id.
+BOOST_AUTO_TEST_CASE(a_second_attempt_at_the_same_instance_is_marked_as_repeated)
+{
+  FakeMesh mesh(23);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  mesh.getBackendResult_ = [&](const NodeAddress&) {
+    return mesh.backendRequests_.size() == 1 ? BackendResult::Shed : BackendResult::Answered;
+  };
+  const auto owner = NodeAt(1, 1);
+  const auto send = [&](std::uint64_t aCall, std::uint32_t aAttempt) {
+    const auto status = mesh.At(owner).Status();
+    mesh.At(owner).OnEnvelope({ .sender_ = NodeAt(9, 9),
+                                .senderIncarnation_ = 1,
+                                .receiverIncarnation_ = 0,
+                                .senderVersion_ = { status.revision_, status.version_.digest_ },
+                                .payload_ = CallRequest{ .id_ = { 77, aCall },
+                                                         .attempt_ = aAttempt,
+                                                         .route_ = "public",
+                                                         .service_ = "orders",
+                                                         .method_ = "GET",
+                                                         .path_ = "/public/x",
+                                                         .body_ = MakeBody(""),
+                                                         .remaining_ = milliseconds(500),
+                                                         .queueTimeout_ = milliseconds(500) } });
+    mesh.Run(milliseconds(50));
+  };
+  send(1, 1);
+  send(1, 2);
+  send(2, 1);
+  BOOST_REQUIRE(mesh.backendRequests_.size() == 3U);
+  BOOST_TEST(!mesh.backendRequests_[0].isRepeated_);
+  BOOST_TEST(mesh.backendRequests_[1].isRepeated_);
+  BOOST_TEST(!mesh.backendRequests_[2].isRepeated_);
+}
