Soak: a version that is published while the platform is silent again needs no check

Its trace: the platform returned for 0.3 s, the storm of versions of that return went on into the next silence, and that one ended before the check. The check asked whether the platform was silent at that moment, not since the publication.

Change: a silence that ended after the publication counts too. Two comments are reworded. Evidence: vm-1-1 has platform_lost 0.6 s after the first return, 2.65 s after its last answer, and platform_regained 0.6 s after the second one.

--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -497,7 +497,7 @@
   [[nodiscard]] static WorkResult ClassifyEnd(const BackendCompletion& aEnd) noexcept
   {
     if (aEnd.result_ == BackendResult::OtherInstance) {
-      return WorkResult::Ignored; // says nothing about the load of the instance
+      return WorkResult::Ignored; // independent of the load of the published instance
     }
     if (aEnd.result_ != BackendResult::Answered) {
       return WorkResult::Shed;
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -632,8 +632,8 @@
   BOOST_TEST((call().outcome_ == Outcome::Answered));
 }
 
-// An owner that sends a second attempt of a request must tell the client of its backend server,
-// since a late response to the first one has the same request id.
+// A late response to the first attempt has the same request id as the second one, so the second one
+// needs another connection.
 BOOST_AUTO_TEST_CASE(a_second_attempt_at_the_same_instance_is_marked_as_repeated)
 {
   FakeMesh mesh(23);
--- a/tests/scenarios/scenario_soak_platform.lua
+++ b/tests/scenarios/scenario_soak_platform.lua
@@ -3,6 +3,9 @@
 -- once, nodes are stopped, killed and paused, backend servers are killed. Checks what scenario_soak
 -- checks, and that each node without fault runs a version within the bound. The seed determines the
 -- schedule: scenario-runner --seed N, with SOAK_STEPS and SOAK_VMS as in scenario_soak.
+--
+-- Seeds that failed, with the cause:
+--   22: reported CONFIG, a version was published while the platform was silent again; now told apart
 dofile(LIBRARY .. "/mesh.lua")
 dofile(LIBRARY .. "/soak.lua")
 
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -278,7 +278,7 @@
   soak.mesh:control("mode?mode=silent")
   soak:after(500 + 2 * step.duration, function()
     soak.mesh:control("mode?mode=up")
-    soak.silent_since = nil
+    soak.silent_since, soak.silence_ended_at = nil, now_ms()
     for i = 0, step.number % 6 do
       soak:after(i * 260, function()
         soak:publish(step.number % 100 + i)
@@ -289,9 +289,9 @@
   end)
 end
 
--- Each node that was without fault runs the version, unless the platform has become silent since.
+-- Each node that was without fault runs the version, unless the platform was silent since.
 function Soak:check_applied(version, published_at)
-  if self.silent_since then
+  if self.silent_since or (self.silence_ended_at or 0) > published_at then
     return
   end
   for _, vm in ipairs(self.mesh.vms) do
