Callers' connections start pipelined lookups beside each other

Cause: h2o's HTTP/1 reads the next request of a connection only after the response to the former one, so a caller that sends requests ahead was served one after the other, and its end was seen every 100 ms behind unread bytes. Change: PipelinedConnections (h2o's sockets, request parser of Boost.Beast) starts GET and HEAD requests of idempotent routes beside each other; RequestPipeline decides what starts and keeps the order of the responses. The request after which the connection closes is the last one that starts. Limits are settings: pipelined_requests, pipelined_bytes. HTTP/2 (prior knowledge, h2c) goes on to h2o; the ready and admin addresses stay with h2o.

--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -52,6 +52,18 @@
     DeliverLocalMessages();
   }
 
+  /// \brief Returns true if a request may run beside the ones before it on its connection: its
+  /// route is idempotent.
+  [[nodiscard]] bool MayRunAhead(std::string_view aHost,
+                                 std::string_view aMethod,
+                                 std::string_view aPath) const
+  {
+    const auto& snapshot = context_.Versions().Current();
+    const auto* route =
+      snapshot ? snapshot->FindRoute(NormalizeHost(aHost), aMethod, aPath) : nullptr;
+    return route != nullptr && route->idempotent_;
+  }
+
   /// \brief Cancels the request of a caller that closed its connection.
   void OnCallerGone(const CallId& aId)
   {
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/request_pipeline.hpp"
 #include "geraniumpin/version/fault.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
@@ -67,6 +68,11 @@
   [[nodiscard]] const std::string& PeerKey() const noexcept { return peerKey_; }
   /// \brief Maximum size of a request or answer body in bytes.
   [[nodiscard]] std::size_t MaxBodyBytes() const noexcept { return maxBodyBytes_; }
+  /// \brief Limits of the requests of one caller's connection that are served at the same time.
+  [[nodiscard]] PipelineLimits Pipelining() const noexcept
+  {
+    return { .maxRequests_ = pipelinedRequests_, .maxResponseBytes_ = pipelinedBytes_ };
+  }
   /// \brief Longest time that a planned stop waits for running requests.
   [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
 
@@ -96,6 +102,8 @@
   std::vector<NodeAddress> seeds_;
   std::string peerKey_;
   std::size_t maxBodyBytes_ = kDefaultMaxBodyBytes;
+  std::size_t pipelinedRequests_ = PipelineLimits::kDefaultMaxRequests;
+  std::size_t pipelinedBytes_ = PipelineLimits::kDefaultMaxResponseBytes;
   std::chrono::milliseconds drainTimeout_ = kDefaultDrainTimeout;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
@@ -133,6 +141,7 @@
   SettingsBuilder& Seeds(std::vector<NodeAddress> aSeeds);
   SettingsBuilder& PeerKey(std::string aKey);
   SettingsBuilder& MaxBodyBytes(std::size_t aBytes);
+  SettingsBuilder& Pipelining(const PipelineLimits& aLimits);
   SettingsBuilder& DrainTimeout(std::chrono::milliseconds aTimeout);
 
   /// \returns The settings, or all faults that were found.
--- a/src/adapters/connection/http_server.cpp
+++ b/src/adapters/connection/http_server.cpp
@@ -1,14 +1,15 @@
 #include "http_server.hpp"
 
+#include "pipelined_connections.hpp"
+#include "stream_state.hpp"
+
 #include <algorithm>
 #include <arpa/inet.h>
-#include <array>
 #include <cerrno>
 #include <glog/logging.h>
 #include <h2o.h>
 #include <map>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 namespace geraniumpin {
@@ -20,7 +21,6 @@
 constexpr int kMaxAcceptsPerEvent = 16; // leaves time for the requests of open connections
 constexpr std::uint64_t kRequestTimeoutMs = 30000; // to receive a request after its first byte
 constexpr int kBadGateway = 502;
-constexpr int kMaxDiscardReads = 16;
 constexpr std::size_t kBodyLimitMargin = 1; // lets the handler itself refuse an oversized body
 // Delay before a pending request's connection is watched for its end, so that fast requests are
 // spared the cost.
@@ -65,43 +65,6 @@
   return fd;
 }
 
-/// What can be read from a connection.
-enum class StreamState
-{
-  Empty,
-  Unread, ///< bytes
-  Closed  ///< closed or reset by the peer, perhaps behind unread bytes
-};
-
-StreamState
-FindStreamState(int aFd)
-{
-  pollfd connection{ .fd = aFd, .events = POLLIN | POLLRDHUP, .revents = 0 };
-  if (poll(&connection, 1, 0) <= 0) {
-    return StreamState::Empty;
-  }
-  if ((static_cast<unsigned>(connection.revents) & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
-    return StreamState::Closed;
-  }
-  char byte = 0;
-  const auto received = recv(aFd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (received > 0) {
-    return StreamState::Unread;
-  }
-  return received < 0 && errno == EAGAIN ? StreamState::Empty : StreamState::Closed;
-}
-
-/// Reads away what a client has sent behind its last request: the kernel resets a connection that
-/// is closed with unread bytes and drops the rest of the response.
-void
-DiscardUnread(int aFd)
-{
-  std::array<char, 4096> buffer{};
-  for (int i = 0; i < kMaxDiscardReads && recv(aFd, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0;
-       ++i) {
-  }
-}
-
 } // namespace
 } // namespace impl
 
@@ -123,6 +86,7 @@
     Impl* server_;
     ExchangeId id_;
     h2o_req_t* request_;
+    TimePoint arrivedAt_{};
     bool responded_ = false;
     Body body_; ///< holds the response body until h2o has sent it
     h2o_generator_t generator_{};
@@ -151,10 +115,14 @@
   Impl(EventLoop& aLoop,
        const NodeAddress& aAddress,
        std::size_t aMaxBodyBytes,
-       HttpHandlers aHandlers)
+       HttpHandlers aHandlers,
+       const std::optional<PipelineLimits>& aPipeline)
     : loop_(aLoop)
     , handlers_(std::move(aHandlers))
   {
+    if (aPipeline) {
+      StartPipelining(aMaxBodyBytes, *aPipeline);
+    }
     h2o_config_init(&config_);
     config_.max_request_entity_size = aMaxBodyBytes + impl::kBodyLimitMargin;
     config_.http1.req_timeout = impl::kRequestTimeoutMs;
@@ -177,6 +145,29 @@
     h2o_socket_read_start(listener_, OnAccept);
   }
 
+  void StartPipelining(std::size_t aMaxBodyBytes, const PipelineLimits& aLimits)
+  {
+    pipelined_.emplace(
+      loop_,
+      ReceiveLimits{ .maxBodyBytes_ = aMaxBodyBytes + impl::kBodyLimitMargin,
+                     .requestTimeout_ = std::chrono::milliseconds(impl::kRequestTimeoutMs),
+                     .pipeline_ = aLimits },
+      PipelineCallbacks{
+        .makeId_ = [this](h2o_socket_t* aSocket) { return CountRequest(aSocket); },
+        .onRequest_ = [this](ExchangeId aId,
+                             const HttpRequest& aRequest) { handlers_.onRequest_(aId, aRequest); },
+        .onDisconnect_ =
+          [this](ExchangeId aId) {
+            ++counters_.disconnects_;
+            if (handlers_.onDisconnect_) {
+              handlers_.onDisconnect_(aId);
+            }
+          },
+        .mayRunAhead_ =
+          [this](const RequestTarget& aTarget) { return handlers_.mayRunAhead_(aTarget); },
+        .acceptHttp2_ = [this](h2o_socket_t* aSocket) { h2o_accept(&accept_, aSocket); } });
+  }
+
   static void OnAccept(h2o_socket_t* aListener, const char* aError)
   {
     if (aError != nullptr) {
@@ -201,7 +192,11 @@
     ++counters_.openConnections_;
     socket->on_close.cb = OnConnectionClosed;
     socket->on_close.data = new Connection{ this };
-    h2o_accept(&accept_, socket);
+    if (pipelined_) {
+      pipelined_->Accept(socket);
+    } else {
+      h2o_accept(&accept_, socket);
+    }
     return true;
   }
 
@@ -238,15 +233,23 @@
     return 0;
   }
 
+  /// \param aSocket Null if it is not known.
+  ExchangeId CountRequest(h2o_socket_t* aSocket)
+  {
+    ++counters_.requests_;
+    if (aSocket != nullptr) {
+      static_cast<Connection*>(aSocket->on_close.data)->hasSentRequest_ = true;
+    }
+    return nextId_++;
+  }
+
   void Receive(h2o_req_t* aRequest)
   {
     auto* memory = h2o_mem_alloc_shared(&aRequest->pool, sizeof(Exchange), OnDispose);
-    auto* exchange = new (memory) Exchange{ this, nextId_++, aRequest };
+    auto* socket = aRequest->conn->callbacks->get_socket(aRequest->conn);
+    auto* exchange = new (memory) Exchange{ this, CountRequest(socket), aRequest };
+    exchange->arrivedAt_ = loop_.EarliestArrival();
     exchanges_.emplace(exchange->id_, exchange);
-    ++counters_.requests_;
-    if (auto* socket = aRequest->conn->callbacks->get_socket(aRequest->conn)) {
-      static_cast<Connection*>(socket->on_close.data)->hasSentRequest_ = true;
-    }
     if (handlers_.onDisconnect_) {
       exchange->watchDelay_.exchange_ = exchange;
       exchange->watchDelay_.entry_.cb = OnWatchDelay;
@@ -285,12 +288,12 @@
   void WatchForDisconnect(Exchange& aExchange, int aFd)
   {
     aExchange.disconnectWatch_.reset();
-    const auto state = impl::FindStreamState(aFd);
-    if (state == impl::StreamState::Closed) {
+    const auto state = FindStreamState(aFd);
+    if (state == StreamState::Closed) {
       OnClientGone(aExchange);
       return;
     }
-    if (state == impl::StreamState::Empty) {
+    if (state == StreamState::Empty) {
       aExchange.disconnectWatch_ = FdWatch::TryCreate(
         loop_, aFd, [&aExchange, aFd] { aExchange.server_->WatchForDisconnect(aExchange, aFd); });
     }
@@ -320,7 +323,7 @@
     }
     const int fd = FindHttp1Connection(*exchange);
     if (fd >= 0 && exchange->request_->http1_is_persistent == 0) {
-      impl::DiscardUnread(fd); // h2o closes the connection next
+      DiscardUnread(fd); // h2o closes the connection next
     }
     server->exchanges_.erase(exchange->id_);
     if (!exchange->responded_) {
@@ -334,6 +337,10 @@
 
   void Respond(ExchangeId aId, const HttpResponse& aResponse)
   {
+    if (pipelined_ && pipelined_->Contains(aId)) {
+      pipelined_->Respond(aId, aResponse);
+      return;
+    }
     const auto found = exchanges_.find(aId);
     if (found != exchanges_.end() && !found->second->responded_) {
       Send(*found->second, aResponse);
@@ -385,14 +392,16 @@
   h2o_socket_t* listener_ = nullptr;
   bool keepAliveDisabled_ = false;
   ExchangeId nextId_ = 1;
-  std::map<ExchangeId, Exchange*> exchanges_;
+  std::map<ExchangeId, Exchange*> exchanges_; ///< of h2o's connections
+  std::optional<PipelinedConnections> pipelined_;
 };
 
 HttpServer::HttpServer(EventLoop& aLoop,
                        const NodeAddress& aAddress,
                        std::size_t aMaxBodyBytes,
-                       HttpHandlers aHandlers)
-  : impl_(std::make_unique<Impl>(aLoop, aAddress, aMaxBodyBytes, std::move(aHandlers)))
+                       HttpHandlers aHandlers,
+                       const std::optional<PipelineLimits>& aPipeline)
+  : impl_(std::make_unique<Impl>(aLoop, aAddress, aMaxBodyBytes, std::move(aHandlers), aPipeline))
 {
 }
 
@@ -400,7 +409,9 @@
 {
   // Leaked: open connections point to the server until the process ends.
   StopAccepting();
-  impl_->handlers_ = { [](ExchangeId, const HttpRequest&) {}, {} };
+  impl_->handlers_ = { [](ExchangeId, const HttpRequest&) {},
+                       {},
+                       [](const RequestTarget&) { return false; } };
   (void)impl_.release();
 }
 
@@ -413,12 +424,24 @@
 bool
 HttpServer::HasClientClosed(ExchangeId aId) const
 {
+  if (impl_->pipelined_ && impl_->pipelined_->Contains(aId)) {
+    return impl_->pipelined_->HasClientClosed(aId);
+  }
   const auto found = impl_->exchanges_.find(aId);
   if (found == impl_->exchanges_.end()) {
     return true;
   }
   const int fd = Impl::FindHttp1Connection(*found->second);
-  return fd >= 0 && impl::FindStreamState(fd) == impl::StreamState::Closed;
+  return fd >= 0 && FindStreamState(fd) == StreamState::Closed;
+}
+
+TimePoint
+HttpServer::ArrivedAt(ExchangeId aId) const
+{
+  if (impl_->pipelined_ && impl_->pipelined_->Contains(aId)) {
+    return impl_->pipelined_->ArrivedAt(aId);
+  }
+  return impl_->exchanges_.at(aId)->arrivedAt_;
 }
 
 void
@@ -441,22 +464,26 @@
 HttpServer::DisableKeepAlive()
 {
   impl_->keepAliveDisabled_ = true;
+  if (impl_->pipelined_) {
+    impl_->pipelined_->DisableKeepAlive();
+  }
 }
 
 bool
 HttpServer::IsIdle() const
 {
-  return impl_->exchanges_.empty();
+  return impl_->exchanges_.empty() && (!impl_->pipelined_ || impl_->pipelined_->IsIdle());
 }
 
 std::size_t
 HttpServer::UnansweredRequests() const
 {
   const auto& exchanges = impl_->exchanges_;
-  return static_cast<std::size_t>(
-    std::count_if(exchanges.begin(), exchanges.end(), [](const auto& aEntry) {
-      return !aEntry.second->responded_;
-    }));
+  const auto unanswered = std::count_if(exchanges.begin(), exchanges.end(), [](const auto& aEntry) {
+    return !aEntry.second->responded_;
+  });
+  return static_cast<std::size_t>(unanswered) +
+         (impl_->pipelined_ ? impl_->pipelined_->UnansweredRequests() : 0);
 }
 
 const HttpServerCounters&
--- a/src/adapters/connection/http_server.hpp
+++ b/src/adapters/connection/http_server.hpp
@@ -2,12 +2,14 @@
 
 #include "../process/event_loop.hpp"
 #include "../request/http_message.hpp"
+#include "geraniumpin/connection/request_pipeline.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
 #include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace geraniumpin {
 
@@ -34,6 +36,9 @@
   std::function<void(ExchangeId, const HttpRequest&)> onRequest_;
   /// Called if the client disconnects before the response is sent; may be empty.
   std::function<void(ExchangeId)> onDisconnect_;
+  /// Returns true if a request without a body may run beside the requests before it on its
+  /// connection; used with PipelineLimits only, and required then.
+  std::function<bool(const RequestTarget&)> mayRunAhead_{};
 };
 
 /// \brief An HTTP server on the event loop, built on h2o.
@@ -46,11 +51,14 @@
 public:
   /// \brief Starts to listen; terminates the process if the address cannot be bound.
   /// \param aMaxBodyBytes Largest request body. The handlers also get a body that is one byte
-  /// larger, so that they can refuse it themselves; h2o refuses any larger one.
+  /// larger, so that they can refuse it themselves; any larger one is refused with 413.
+  /// \param aPipeline Limits of the requests of one HTTP/1 connection that are served at the same
+  /// time; without them, a request is read after the response to the former one.
   HttpServer(EventLoop& aLoop,
              const NodeAddress& aAddress,
              std::size_t aMaxBodyBytes,
-             HttpHandlers aHandlers);
+             HttpHandlers aHandlers,
+             const std::optional<PipelineLimits>& aPipeline = std::nullopt);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -63,7 +71,11 @@
   /// A request can be read long after it was sent; the disconnect itself is reported later.
   [[nodiscard]] bool HasClientClosed(ExchangeId aId) const;
 
-  /// \brief Closes each connection after its next response.
+  /// \brief Returns the earliest time at which the last byte of a pending request can have arrived.
+  [[nodiscard]] TimePoint ArrivedAt(ExchangeId aId) const;
+
+  /// \brief Closes each connection after the responses to the requests that are pending, or after
+  /// its next response if there is none.
   void DisableKeepAlive();
 
   /// \brief Accepts the connections in the backlog, then stops listening.
--- /dev/null
+++ b/src/adapters/connection/pipelined_connections.cpp
@@ -0,0 +1,630 @@
+#include "pipelined_connections.hpp"
+
+#include "stream_state.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <h2o.h>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace geraniumpin {
+
+namespace impl {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t kMaxRequestHeaderBytes = 64U << 10U;
+// Received bytes that may wait until their request may start; reading stops above it.
+constexpr std::size_t kMaxReadAheadBytes = 64U << 10U;
+// Interval at which a connection is checked for its end while reading is stopped.
+constexpr std::uint64_t kCloseCheckMs = 100;
+constexpr std::string_view kHttp2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr ExchangeId kNoExchange = 0; // of a response to a request that no handler gets
+
+/// A response without content after which the connection closes.
+HttpResponse
+MakeLastResponse(int aStatus)
+{
+  return { .status_ = aStatus, .headers_ = {}, .body_ = {} };
+}
+
+std::string
+EncodeHead(const HttpResponse& aResponse, std::size_t aBodyBytes, bool aIsLast)
+{
+  std::string head =
+    "HTTP/1.1 " + std::to_string(aResponse.status_) + " " + ReasonPhrase(aResponse.status_);
+  head += aIsLast ? "\r\nConnection: close\r\n" : "\r\nConnection: keep-alive\r\n";
+  if (aResponse.status_ != 204 && aResponse.status_ != 304) {
+    head += "Content-Length: " + std::to_string(aBodyBytes) + "\r\n";
+  }
+  for (const auto& field : aResponse.headers_) {
+    head += field.name_ + ": " + field.value_ + "\r\n";
+  }
+  return head + "\r\n";
+}
+
+/// The status that tells a client why its request cannot be read.
+int
+ToRefusalStatus(const boost::system::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  return aError == http::error::header_limit ? 431 : 400;
+}
+
+std::string_view
+ToView(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::string
+LowerCase(std::string_view aName)
+{
+  std::string name(aName);
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return name;
+}
+
+} // namespace
+} // namespace impl
+
+struct PipelinedConnections::Impl
+{
+  using Parser = impl::http::request_parser<impl::http::string_body>;
+
+  struct Connection;
+
+  /// A timer with a pointer to its connection; h2o passes its first member to the callback.
+  struct Timer
+  {
+    h2o_timeout_entry_t entry_{};
+    Connection* connection_ = nullptr;
+  };
+
+  /// A response that waits for its turn.
+  struct HeldResponse
+  {
+    HttpResponse response_;
+    bool isHead_ = false; ///< of a HEAD request, so that no body is sent
+  };
+
+  /// Bytes that are being sent.
+  struct Chunk
+  {
+    std::string head_;
+    Body body_;
+  };
+
+  struct Connection
+  {
+    Connection(Impl* aOwner, h2o_socket_t* aSocket, const PipelineLimits& aLimits)
+      : owner_(aOwner)
+      , socket_(aSocket)
+      , pipeline_(aLimits)
+    {
+    }
+
+    Impl* owner_;
+    h2o_socket_t* socket_;
+    RequestPipeline<HeldResponse> pipeline_;
+    std::optional<Parser> parser_;
+    bool isFirstRequest_ = true;
+    bool isReading_ = false;
+    bool isAdvancing_ = false;
+    bool hasStopped_ = false;     ///< no further request is read
+    bool closesWhenSent_ = false; ///< the client has ended its stream
+    bool needsContinue_ = false;  ///< the client waits before it sends the body
+    std::vector<Chunk> sending_;  ///< passed to the socket
+    TimePoint arrivedAt_;         ///< earliest time at which the last bytes can have arrived
+    Timer requestTimer_;          ///< runs while no request is pending
+    Timer closeCheck_;            ///< runs while reading is stopped
+  };
+
+  /// A request whose response is not sent.
+  struct Exchange
+  {
+    Connection* connection_ = nullptr;
+    TimePoint arrivedAt_;
+    bool isHead_ = false;
+    bool isAnswered_ = false;
+  };
+
+  Impl(EventLoop& aLoop, const ReceiveLimits& aLimits, PipelineCallbacks aCallbacks)
+    : loop_(aLoop)
+    , limits_(aLimits)
+    , callbacks_(std::move(aCallbacks))
+  {
+    h2o_timeout_init(loop_.Native(),
+                     &requestTimeout_,
+                     static_cast<std::uint64_t>(limits_.requestTimeout_.count()));
+    h2o_timeout_init(loop_.Native(), &closeCheckDelay_, impl::kCloseCheckMs);
+  }
+
+  void Accept(h2o_socket_t* aSocket)
+  {
+    auto owned = std::make_unique<Connection>(this, aSocket, limits_.pipeline_);
+    auto& connection = *owned;
+    connections_.emplace(&connection, std::move(owned));
+    aSocket->data = &connection;
+    connection.requestTimer_ = { .entry_ = { .cb = OnRequestTimeout }, .connection_ = &connection };
+    connection.closeCheck_ = { .entry_ = { .cb = OnCloseCheck }, .connection_ = &connection };
+    if (keepAliveDisabled_) {
+      connection.pipeline_.BeginEnding();
+    }
+    ResetParser(connection);
+    StartTimer(requestTimeout_, connection.requestTimer_);
+    SetReading(connection, true);
+  }
+
+  void Respond(ExchangeId aId, const HttpResponse& aResponse)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || found->second.isAnswered_) {
+      return;
+    }
+    loop_.SkipSleep();
+    found->second.isAnswered_ = true;
+    auto& connection = *found->second.connection_;
+    const auto bytes = aResponse.body_ ? aResponse.body_->size() : 0;
+    connection.pipeline_.OnResponse(aId, { aResponse, found->second.isHead_ }, bytes);
+    Advance(connection);
+  }
+
+  void DisableKeepAlive()
+  {
+    keepAliveDisabled_ = true;
+    for (auto& [connection, owned] : connections_) {
+      connection->pipeline_.BeginEnding();
+    }
+  }
+
+  EventLoop& loop_;
+  ReceiveLimits limits_;
+  PipelineCallbacks callbacks_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<ExchangeId, Exchange> exchanges_;
+  bool keepAliveDisabled_ = false;
+  h2o_timeout_t requestTimeout_{};
+  h2o_timeout_t closeCheckDelay_{};
+
+private:
+  static void OnRead(h2o_socket_t* aSocket, const char* aError)
+  {
+    auto& connection = *static_cast<Connection*>(aSocket->data);
+    auto* owner = connection.owner_;
+    owner->loop_.RecordWakeUp();
+    if (aError != nullptr) {
+      owner->OnStreamEnd(connection, aError == h2o_socket_error_closed);
+      return;
+    }
+    connection.arrivedAt_ = owner->loop_.EarliestArrival();
+    owner->Advance(connection);
+  }
+
+  /// Sends and starts what may be sent and started.
+  void Advance(Connection& aConnection)
+  {
+    if (std::exchange(aConnection.isAdvancing_, true)) {
+      return; // a response within OnRequest; the outer call goes on
+    }
+    auto* connection = &aConnection;
+    do {
+      Send(*connection);
+    } while (connection->socket_ != nullptr && ParseNext(*connection));
+    if (connection->socket_ == nullptr) { // HTTP/2 has begun
+      connections_.erase(connection);
+      return;
+    }
+    connection->isAdvancing_ = false;
+    UpdateReading(*connection);
+  }
+
+  /// \returns True if a request was started or refused.
+  bool ParseNext(Connection& aConnection)
+  {
+    auto& input = aConnection.socket_->input;
+    auto& parser = *aConnection.parser_;
+    while (!aConnection.hasStopped_) {
+      if (!parser.is_header_done() && !ParseHeader(aConnection)) {
+        return aConnection.socket_ != nullptr && aConnection.hasStopped_;
+      }
+      const auto mayRunAhead = MayRunAhead(aConnection);
+      switch (aConnection.pipeline_.Evaluate(mayRunAhead)) {
+        case StartDecision::Wait:
+          return false;
+        case StartDecision::Never:
+          aConnection.hasStopped_ = true;
+          return false;
+        case StartDecision::Start:
+          break;
+      }
+      if (parser.is_done()) {
+        Start(aConnection, mayRunAhead);
+        return true;
+      }
+      if (aConnection.needsContinue_ && input->size == 0 && aConnection.sending_.empty()) {
+        aConnection.needsContinue_ = false;
+        Write(aConnection, { { std::string(impl::kContinue), {} } });
+      }
+      if (input->size == 0 || !Parse(aConnection)) {
+        return aConnection.hasStopped_;
+      }
+    }
+    return false;
+  }
+
+  /// Parses the start line and header of the next request.
+  /// \returns True if they are complete and valid.
+  bool ParseHeader(Connection& aConnection)
+  {
+    auto& input = aConnection.socket_->input;
+    while (input->size >= 2 && input->bytes[0] == '\r' && input->bytes[1] == '\n') {
+      h2o_buffer_consume(&input, 2); // an empty line before a request has no meaning
+    }
+    if (input->size == 0 || (aConnection.isFirstRequest_ && MayBeginHttp2(aConnection))) {
+      return false;
+    }
+    if (!Parse(aConnection) || !aConnection.parser_->is_header_done()) {
+      return false;
+    }
+    const auto& request = aConnection.parser_->get();
+    const auto hosts = request.count(impl::http::field::host);
+    if (hosts > 1 || (hosts == 0 && request.version() >= 11)) {
+      RefuseAndStop(aConnection, 400);
+      return false;
+    }
+    aConnection.needsContinue_ =
+      impl::LowerCase(impl::ToView(request[impl::http::field::expect])) == "100-continue";
+    return true;
+  }
+
+  /// Passes received bytes to the parser.
+  /// \returns True if bytes were parsed and the request is valid so far.
+  bool Parse(Connection& aConnection)
+  {
+    auto& input = aConnection.socket_->input;
+    boost::system::error_code error;
+    const auto used =
+      aConnection.parser_->put(boost::asio::buffer(input->bytes, input->size), error);
+    if (aConnection.isFirstRequest_ && aConnection.parser_->is_header_done() &&
+        RequestsHttp2(aConnection)) {
+      PassToHttp2(aConnection); // with all bytes, this header included
+      return false;
+    }
+    h2o_buffer_consume(&input, used);
+    if (error && error != impl::http::error::need_more) {
+      RefuseAndStop(aConnection, impl::ToRefusalStatus(error));
+      return false;
+    }
+    return used > 0;
+  }
+
+  void Start(Connection& aConnection, bool aMayRunAhead)
+  {
+    auto& message = aConnection.parser_->get();
+    const auto keepsAlive = message.keep_alive();
+    const HttpRequest request = MakeRequest(message, MakeBody(std::move(message.body())));
+    const auto id = callbacks_.makeId_(aConnection.socket_);
+    exchanges_.emplace(id,
+                       Exchange{ .connection_ = &aConnection,
+                                 .arrivedAt_ = aConnection.arrivedAt_,
+                                 .isHead_ = request.method_ == "HEAD" });
+    aConnection.pipeline_.OnStarted(id, aMayRunAhead, keepsAlive);
+    aConnection.isFirstRequest_ = false;
+    StopTimer(aConnection.requestTimer_);
+    ResetParser(aConnection);
+    callbacks_.onRequest_(id, request);
+  }
+
+  static HttpRequest MakeRequest(const Parser::value_type& aMessage, Body aBody)
+  {
+    HeaderFields headers;
+    for (const auto& field : aMessage) {
+      const bool isForConnection =
+        field.name() == impl::http::field::host || field.name() == impl::http::field::expect;
+      if (!isForConnection) {
+        headers.push_back({ impl::LowerCase(impl::ToView(field.name_string())),
+                            std::string(impl::ToView(field.value())) });
+      }
+    }
+    return { .method_ = std::string(impl::ToView(aMessage.method_string())),
+             .host_ = std::string(impl::ToView(aMessage[impl::http::field::host])),
+             .path_ = std::string(impl::ToView(aMessage.target())),
+             .headers_ = std::move(headers),
+             .body_ = std::move(aBody) };
+  }
+
+  /// Safe methods only (RFC 9112, 9.3.2), of requests without a body.
+  [[nodiscard]] bool MayRunAhead(const Connection& aConnection) const
+  {
+    const auto& parser = *aConnection.parser_;
+    const auto method = parser.get().method();
+    const bool isSafe = method == impl::http::verb::get || method == impl::http::verb::head;
+    return isSafe && parser.is_done() &&
+           callbacks_.mayRunAhead_({ .method_ = impl::ToView(parser.get().method_string()),
+                                     .host_ = impl::ToView(parser.get()[impl::http::field::host]),
+                                     .path_ = impl::ToView(parser.get().target()) });
+  }
+
+  /// Answers in the place of a request that cannot be read.
+  void RefuseAndStop(Connection& aConnection, int aStatus)
+  {
+    aConnection.hasStopped_ = true;
+    if (aConnection.pipeline_.Evaluate(false) == StartDecision::Never) {
+      return;
+    }
+    aConnection.pipeline_.OnStarted(impl::kNoExchange, false, false);
+    aConnection.pipeline_.OnResponse(
+      impl::kNoExchange, { impl::MakeLastResponse(aStatus), false }, 0);
+  }
+
+  void Send(Connection& aConnection)
+  {
+    if (!aConnection.sending_.empty()) {
+      return;
+    }
+    std::vector<Chunk> chunks;
+    for (const auto& [id, held, isLast] : aConnection.pipeline_.TakeSendable()) {
+      const auto& body = held.response_.body_;
+      const auto bytes = body ? body->size() : 0;
+      chunks.push_back({ impl::EncodeHead(held.response_, bytes, isLast),
+                         held.isHead_ || bytes == 0 ? Body{} : body });
+      exchanges_.erase(id);
+    }
+    if (!chunks.empty()) {
+      Write(aConnection, std::move(chunks));
+    }
+  }
+
+  void Write(Connection& aConnection, std::vector<Chunk> aChunks)
+  {
+    aConnection.sending_ = std::move(aChunks);
+    std::vector<h2o_iovec_t> buffers;
+    for (auto& chunk : aConnection.sending_) {
+      buffers.push_back({ chunk.head_.data(), chunk.head_.size() });
+      if (chunk.body_) {
+        buffers.push_back({ const_cast<char*>(chunk.body_->data()), chunk.body_->size() });
+      }
+    }
+    h2o_socket_write(aConnection.socket_, buffers.data(), buffers.size(), OnWritten);
+  }
+
+  static void OnWritten(h2o_socket_t* aSocket, const char* aError)
+  {
+    auto& connection = *static_cast<Connection*>(aSocket->data);
+    auto* owner = connection.owner_;
+    connection.sending_.clear();
+    connection.pipeline_.OnSent();
+    if (aError != nullptr) {
+      owner->Abandon(connection);
+      owner->Close(connection);
+      return;
+    }
+    if (connection.closesWhenSent_ || connection.pipeline_.HasEnded()) {
+      owner->Close(connection);
+      return;
+    }
+    if (connection.pipeline_.IsEmpty()) {
+      owner->StartTimer(owner->requestTimeout_, connection.requestTimer_);
+    }
+    owner->Advance(connection);
+  }
+
+  /// A client that has ended its stream may still read: it gets the responses that are being sent
+  /// and one failure in place of those that are due, which makes no promise about its requests.
+  void OnStreamEnd(Connection& aConnection, bool aOrderly)
+  {
+    SetReading(aConnection, false);
+    StopTimer(aConnection.closeCheck_);
+    const bool hadUnanswered = Abandon(aConnection);
+    if (!aOrderly || (!hadUnanswered && aConnection.sending_.empty())) {
+      Close(aConnection);
+      return;
+    }
+    aConnection.hasStopped_ = true;
+    aConnection.closesWhenSent_ = true;
+    if (aConnection.sending_.empty()) {
+      Write(aConnection, { { impl::EncodeHead(impl::MakeLastResponse(502), 0, true), {} } });
+    }
+  }
+
+  /// Reports all unanswered requests as disconnected.
+  /// \returns True if there were any.
+  bool Abandon(Connection& aConnection)
+  {
+    bool hadUnanswered = false;
+    for (const auto id : aConnection.pipeline_.Unsent()) {
+      const auto exchange = exchanges_.extract(id);
+      if (!exchange.empty() && !exchange.mapped().isAnswered_) {
+        hadUnanswered = true;
+        callbacks_.onDisconnect_(id);
+      }
+    }
+    return hadUnanswered;
+  }
+
+  /// Reads while the bytes that wait are few; else checks whether the client leaves.
+  void UpdateReading(Connection& aConnection)
+  {
+    const bool isFull = aConnection.socket_->input->size > impl::kMaxReadAheadBytes;
+    if (aConnection.closesWhenSent_) {
+      return;
+    }
+    SetReading(aConnection, !isFull);
+    if (isFull && !aConnection.pipeline_.IsEmpty()) {
+      StartTimer(closeCheckDelay_, aConnection.closeCheck_);
+    } else {
+      StopTimer(aConnection.closeCheck_);
+    }
+  }
+
+  static void OnCloseCheck(h2o_timeout_entry_t* aEntry)
+  {
+    auto& connection = *reinterpret_cast<Timer*>(aEntry)->connection_;
+    auto* owner = connection.owner_;
+    if (FindStreamState(h2o_socket_get_fd(connection.socket_)) == StreamState::Closed) {
+      owner->OnStreamEnd(connection, true);
+    } else {
+      owner->StartTimer(owner->closeCheckDelay_, connection.closeCheck_);
+    }
+  }
+
+  static void OnRequestTimeout(h2o_timeout_entry_t* aEntry)
+  {
+    auto& connection = *reinterpret_cast<Timer*>(aEntry)->connection_;
+    connection.owner_->Close(connection);
+  }
+
+  /// Returns true if the received bytes are the beginning of HTTP/2, perhaps an unfinished one.
+  bool MayBeginHttp2(Connection& aConnection)
+  {
+    const auto& input = aConnection.socket_->input;
+    const std::string_view received(input->bytes, input->size);
+    if (received.starts_with(impl::kHttp2Preface)) {
+      PassToHttp2(aConnection);
+      return true;
+    }
+    return impl::kHttp2Preface.starts_with(received);
+  }
+
+  static bool RequestsHttp2(const Connection& aConnection)
+  {
+    const auto upgrade = aConnection.parser_->get()[impl::http::field::upgrade];
+    return impl::http::token_list(upgrade).exists("h2c");
+  }
+
+  /// The connection is removed once Advance ends.
+  void PassToHttp2(Connection& aConnection)
+  {
+    SetReading(aConnection, false);
+    StopTimer(aConnection.requestTimer_);
+    StopTimer(aConnection.closeCheck_);
+    callbacks_.acceptHttp2_(std::exchange(aConnection.socket_, nullptr));
+  }
+
+  void Close(Connection& aConnection)
+  {
+    StopTimer(aConnection.requestTimer_);
+    StopTimer(aConnection.closeCheck_);
+    DiscardUnread(h2o_socket_get_fd(aConnection.socket_));
+    h2o_socket_close(aConnection.socket_);
+    connections_.erase(&aConnection);
+  }
+
+  void ResetParser(Connection& aConnection)
+  {
+    aConnection.parser_.emplace();
+    // Header and body are parsed in separate steps: a request with a body waits before its body.
+    aConnection.parser_->eager(false);
+    aConnection.parser_->header_limit(impl::kMaxRequestHeaderBytes);
+    aConnection.parser_->body_limit(limits_.maxBodyBytes_);
+    aConnection.needsContinue_ = false;
+  }
+
+  static void SetReading(Connection& aConnection, bool aReads)
+  {
+    if (std::exchange(aConnection.isReading_, aReads) == aReads) {
+      return;
+    }
+    if (aReads) {
+      h2o_socket_read_start(aConnection.socket_, OnRead);
+    } else {
+      h2o_socket_read_stop(aConnection.socket_);
+    }
+  }
+
+  void StartTimer(h2o_timeout_t& aTimeout, Timer& aTimer)
+  {
+    if (!h2o_timeout_is_linked(&aTimer.entry_)) {
+      h2o_timeout_link(loop_.Native(), &aTimeout, &aTimer.entry_);
+    }
+  }
+
+  static void StopTimer(Timer& aTimer)
+  {
+    if (h2o_timeout_is_linked(&aTimer.entry_)) {
+      h2o_timeout_unlink(&aTimer.entry_);
+    }
+  }
+};
+
+PipelinedConnections::PipelinedConnections(EventLoop& aLoop,
+                                           const ReceiveLimits& aLimits,
+                                           PipelineCallbacks aCallbacks)
+  : impl_(std::make_unique<Impl>(aLoop, aLimits, std::move(aCallbacks)))
+{
+}
+
+PipelinedConnections::~PipelinedConnections()
+{
+  (void)impl_.release(); // leaked: open sockets point to it until the process ends
+}
+
+void
+PipelinedConnections::Accept(st_h2o_socket_t* aSocket)
+{
+  impl_->Accept(aSocket);
+}
+
+void
+PipelinedConnections::Respond(ExchangeId aId, const HttpResponse& aResponse)
+{
+  impl_->Respond(aId, aResponse);
+}
+
+bool
+PipelinedConnections::Contains(ExchangeId aId) const
+{
+  return impl_->exchanges_.contains(aId);
+}
+
+bool
+PipelinedConnections::HasClientClosed(ExchangeId aId) const
+{
+  auto* socket = impl_->exchanges_.at(aId).connection_->socket_;
+  return FindStreamState(h2o_socket_get_fd(socket)) == StreamState::Closed;
+}
+
+TimePoint
+PipelinedConnections::ArrivedAt(ExchangeId aId) const
+{
+  return impl_->exchanges_.at(aId).arrivedAt_;
+}
+
+void
+PipelinedConnections::DisableKeepAlive()
+{
+  impl_->DisableKeepAlive();
+}
+
+bool
+PipelinedConnections::IsIdle() const
+{
+  return std::all_of(
+    impl_->connections_.begin(), impl_->connections_.end(), [](const auto& aEntry) {
+      return aEntry.first->pipeline_.IsEmpty() && aEntry.first->sending_.empty();
+    });
+}
+
+std::size_t
+PipelinedConnections::UnansweredRequests() const
+{
+  const auto& exchanges = impl_->exchanges_;
+  return static_cast<std::size_t>(
+    std::count_if(exchanges.begin(), exchanges.end(), [](const auto& aEntry) {
+      return !aEntry.second.isAnswered_;
+    }));
+}
+
+} // namespace geraniumpin
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -69,11 +69,15 @@
     , callers_(loop_,
                aSettings.CallerAddress(),
                aSettings.MaxBodyBytes(),
+               aSettings.Pipelining(),
                MakeOrigin(aSettings.PeerAddress(), incarnation_),
                InterfaceType::Headers(),
                aSettings.OwnService(),
                { [this](const Call& aCall) { node_.OnCall(aCall); },
-                 [this](const CallId& aId) { node_.OnCallerGone(aId); } })
+                 [this](const CallId& aId) { node_.OnCallerGone(aId); },
+                 [this](const RequestTarget& aTarget) {
+                   return node_.MayRunAhead(aTarget.host_, aTarget.method_, aTarget.path_);
+                 } })
     , node_({ clock_, random_, log_, transport_, backend_, callers_, platform_, codec_, decoder_ },
             aSettings,
             incarnation_)
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -33,6 +33,8 @@
     "failure_domains": { "type": "array", "items": { "type": "string", "minLength": 1 } },
     "peer_key": { "type": "string", "minLength": 16 },
     "max_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
+    "pipelined_requests": { "type": "integer", "minimum": 1, "maximum": 256 },
+    "pipelined_bytes": { "type": "integer", "minimum": 0, "maximum": 67108864 },
     "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
   }
 })json";
@@ -98,6 +100,10 @@
   if (aRoot.contains("max_body_bytes")) {
     builder.MaxBodyBytes(aRoot.at("max_body_bytes"));
   }
+  builder.Pipelining(
+    { .maxRequests_ = aRoot.value("pipelined_requests", PipelineLimits::kDefaultMaxRequests),
+      .maxResponseBytes_ =
+        aRoot.value("pipelined_bytes", PipelineLimits::kDefaultMaxResponseBytes) });
   if (aRoot.contains("drain_timeout_ms")) {
     builder.DrainTimeout(std::chrono::milliseconds(aRoot.at("drain_timeout_ms")));
   }
--- a/src/adapters/request/caller_gateway.cpp
+++ b/src/adapters/request/caller_gateway.cpp
@@ -75,12 +75,12 @@
 CallerGateway::CallerGateway(EventLoop& aLoop,
                              const NodeAddress& aAddress,
                              std::size_t aMaxBodyBytes,
+                             const PipelineLimits& aPipeline,
                              std::uint64_t aOrigin,
                              HeaderNames aNames,
                              std::string aOwnService,
                              CallerEvents aEvents)
-  : loop_(aLoop)
-  , names_(std::move(aNames))
+  : names_(std::move(aNames))
   , ownService_(std::move(aOwnService))
   , maxBodyBytes_(aMaxBodyBytes)
   , origin_(aOrigin)
@@ -92,7 +92,9 @@
               [this](ExchangeId aId) {
                 requestIds_.erase(aId);
                 events_.onDisconnect_({ origin_, aId });
-              } })
+              },
+              [this](const RequestTarget& aTarget) { return events_.mayRunAhead_(aTarget); } },
+            aPipeline)
 {
 }
 
@@ -144,7 +146,7 @@
                     .key_ = FindCallerKey(headers, names_),
                     .callToken_ = field(names_.callToken_),
                     .idempotencyKey_ = field(names_.idempotencyKey_),
-                    .arrivedAt_ = loop_.EarliestArrival(),
+                    .arrivedAt_ = server_.ArrivedAt(aId),
                     .timeout_ = impl::ParseMilliseconds(field(names_.callerTimeout_)),
                     .isAbandoned_ = server_.HasClientClosed(aId) });
 }
--- a/src/adapters/request/caller_gateway.hpp
+++ b/src/adapters/request/caller_gateway.hpp
@@ -16,6 +16,8 @@
 {
   std::function<void(const Call&)> onCall_;
   std::function<void(const CallId&)> onDisconnect_;
+  /// Returns true if a call may run beside the ones before it on its connection.
+  std::function<bool(const RequestTarget&)> mayRunAhead_;
 };
 
 /// \brief Converts HTTP requests into calls and answers into responses; satisfies CallerPort.
@@ -28,6 +30,7 @@
   CallerGateway(EventLoop& aLoop,
                 const NodeAddress& aAddress,
                 std::size_t aMaxBodyBytes,
+                const PipelineLimits& aPipeline,
                 std::uint64_t aOrigin,
                 HeaderNames aNames,
                 std::string aOwnService,
@@ -54,7 +57,6 @@
   void OnRequest(ExchangeId aId, const HttpRequest& aRequest);
   [[nodiscard]] HeaderFields SelectForwardedHeaders(const HeaderFields& aHeaders) const;
 
-  EventLoop& loop_;
   HeaderNames names_;
   std::string ownService_;
   std::map<ExchangeId, std::string> requestIds_; ///< of the pending calls
--- a/src/adapters/request/http_message.cpp
+++ b/src/adapters/request/http_message.cpp
@@ -68,6 +68,8 @@
       return "Payload Too Large";
     case 429:
       return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -17,6 +17,16 @@
   const Body body_;
 };
 
+/// \brief The parts of a request that select its route; views into the request.
+struct RequestTarget
+{
+  const std::string_view method_;
+  const std::string_view host_;
+  const std::string_view path_; ///< with the query
+
+  auto operator<=>(const RequestTarget&) const = default;
+};
+
 /// \brief An HTTP response, received or to send.
 struct HttpResponse
 {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -151,6 +151,14 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::Pipelining(const PipelineLimits& aLimits)
+{
+  settings_.pipelinedRequests_ = aLimits.maxRequests_;
+  settings_.pipelinedBytes_ = aLimits.maxResponseBytes_;
+  return *this;
+}
+
 SettingsBuilder&
 SettingsBuilder::DrainTimeout(std::chrono::milliseconds aTimeout)
 {
--- a/tests/support/scripted_client.hpp
+++ b/tests/support/scripted_client.hpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -52,6 +53,14 @@
                   static_cast<ssize_t>(aText.size()));
   }
 
+  /// \brief Writes what the connection takes without blocking.
+  /// \returns The number of bytes written.
+  std::size_t TryWrite(std::string_view aText)
+  {
+    const auto written = send(connection_, aText.data(), aText.size(), 0);
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+  }
+
   /// \brief Returns the bytes that have arrived, up to 65,536; empty if there are none.
   std::string Read()
   {
