--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -249,7 +249,7 @@
     call.service_ =
       destinations_.Next(call.decision_.route_, DrawFraction(context_.Ports().random_));
     auto& budget = retryBudgets_[call.service_];
-    budget = budget.AfterRequest();
+    budget = budget.AfterRequest(context_.NodeSettings().RetryRatio());
     const auto* team = call.decision_.snapshot_->FindTeam(call.decision_.team_);
     const bool isLimited = team != nullptr && team->ratePerSecond_ > 0;
     if (!isLimited || aTokenContext != nullptr) {
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -5,6 +5,7 @@
 #include "geraniumpin/process/last_contact.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/placement_hash.hpp"
+#include "geraniumpin/process/reader_timing.hpp"
 #include "geraniumpin/process/watcher_rank.hpp"
 #include "geraniumpin/version/document_assembly.hpp"
 #include "geraniumpin/version/part_split.hpp"
@@ -32,24 +33,11 @@
   /// Range of the random delay that spreads the first reads of nodes that start together.
   static constexpr std::chrono::milliseconds kStartJitter{ 300 };
   static constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
-  /// Longest time between the starts of two reads of a watcher after failures, apart from
-  /// kMinReadInterval, unless a read takes longer; it stays below the bound for applying a version
-  /// once the platform answers again.
-  static constexpr std::chrono::milliseconds kMaxBackoff{ 1000 };
   /// Longest pause after failures of a backup watcher, so that during an outage not all nodes read
   /// the platform.
   static constexpr std::chrono::milliseconds kMaxBackupBackoff{ 60000 };
-  /// Shortest time between two reads, so that changes within it cost one read.
-  static constexpr std::chrono::milliseconds kMinReadInterval{ 150 };
   /// Period in which a node that does not watch checks whether it should.
   static constexpr std::chrono::milliseconds kWatchCheckPeriod{ 200 };
-  /// Time for which one watch waits. With kReadTimeout and kMinReadInterval it stays below the
-  /// three seconds in which a node must have recovered from a connection that became silent.
-  static constexpr std::chrono::milliseconds kWatchWait{ 1800 };
-  /// Timeout of a read; that of a watch is longer by kWatchWait.
-  static constexpr std::chrono::milliseconds kReadTimeout{ 700 };
-  /// Timeout of a read of the changes after a failure, which does not wait for changes.
-  static constexpr std::chrono::milliseconds kRetryReadTimeout{ 1300 };
   /// Time without an answer after which published instances may have expired although they run.
   static constexpr std::chrono::milliseconds kExpiryOutage{ 3000 };
   /// Grace period in which expired instances can be published again.
@@ -64,8 +52,10 @@
     : context_(aContext)
     , config_(aConfig)
     , lastContact_(aContext.Now())
+    , timing_(ReaderTiming::Make(aContext.NodeSettings().ApplyBound(),
+                                 aContext.NodeSettings().ContactBound()))
     , lastAnswerAt_(aContext.Now())
-    , backoff_(kFirstBackoff, kMaxBackoff)
+    , backoff_(kFirstBackoff, timing_.maxBackoff_)
     , backupBackoff_(kFirstBackoff, kMaxBackupBackoff)
   {
     const auto jitter = DrawFraction(context_.Ports().random_) * kStartJitter;
@@ -149,12 +139,13 @@
       longestGap_ = {};
     }
     if (listing_) {
-      readDeadline_ = aNow + kReadTimeout;
+      readDeadline_ = aNow + ReaderTiming::kReadTimeout;
       context_.Ports().source_.ReadItems(listing_->afterKey_);
     } else {
       // A watch that the platform did not receive would hide its return for as long as it waits.
-      const auto wait = failing_ ? Duration{} : Duration(kWatchWait);
-      readDeadline_ = aNow + (failing_ ? kRetryReadTimeout : kWatchWait + kReadTimeout);
+      const auto wait = failing_ ? Duration{} : timing_.watchWait_;
+      readDeadline_ = aNow + (failing_ ? ReaderTiming::kRetryReadTimeout
+                                       : timing_.watchWait_ + ReaderTiming::kReadTimeout);
       context_.Ports().source_.WatchItems(revision_, wait);
     }
   }
@@ -175,7 +166,7 @@
     failing_ = false;
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
-    nextRead_ = now + kMinReadInterval;
+    nextRead_ = now + timing_.readInterval_;
     if (listing_) {
       ApplyPage(aRead);
     } else {
@@ -194,7 +185,7 @@
   {
     // Without a failure, the time in which a watch waits for changes is no silence.
     return failing_ ? std::max(longestGap_, lastContact_.Age(aNow)) >= kExpiryOutage
-                    : lastContact_.Age(readSentAt_) >= kExpiryOutage + kWatchWait;
+                    : lastContact_.Age(readSentAt_) >= kExpiryOutage + timing_.watchWait_;
   }
 
   void ApplyPage(const ItemsRead& aRead)
@@ -383,7 +374,7 @@
     auto& backoff = context_.ComputeWatcherRank().IsWatcher() ? backoff_ : backupBackoff_;
     // The time in which a read had no answer is part of the pause.
     nextRead_ = std::max(context_.Now(), readSentAt_ + backoff.Draw(context_.Ports().random_)) +
-                kMinReadInterval;
+                timing_.readInterval_;
     backoff = backoff.AfterFailure();
     if (!std::exchange(failing_, true)) {
       context_.Write(LogEvent("platform_lost", Severity::Warning)
@@ -406,6 +397,7 @@
   NodeContext<PortSet>& context_;
   ConfigService<PortSet>& config_;
   LastContact lastContact_;
+  ReaderTiming timing_;
   TimePoint lastAnswerAt_;
   Backoff backoff_;
   Backoff backupBackoff_;
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/connection/request_pipeline.hpp"
+#include "geraniumpin/request/retry_policy.hpp"
 #include "geraniumpin/version/fault.hpp"
 #include "geraniumpin/version/node_address.hpp"
 
@@ -73,6 +74,18 @@
   {
     return { .maxRequests_ = pipelinedRequests_, .maxResponseBytes_ = pipelinedBytes_ };
   }
+  /// \brief Longest time from the platform's acknowledgement of a version until it is in force.
+  [[nodiscard]] std::chrono::milliseconds ApplyBound() const noexcept { return applyBound_; }
+  /// \brief Time in which a node must have recovered from a connection to the platform that became
+  /// silent.
+  [[nodiscard]] std::chrono::milliseconds ContactBound() const noexcept { return contactBound_; }
+  /// \brief Retries of a service that arrive at instances, as a share of its requests.
+  [[nodiscard]] double RetryRatio() const noexcept { return retryRatio_; }
+  /// \brief Bounds as the platform states them, not decoded; see ApplyPlatformBounds.
+  [[nodiscard]] const std::vector<std::string>& PlatformBounds() const noexcept
+  {
+    return platformBounds_;
+  }
   /// \brief Longest time that a planned stop waits for running requests.
   [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
 
@@ -105,9 +118,22 @@
   std::size_t pipelinedRequests_ = PipelineLimits::kDefaultMaxRequests;
   std::size_t pipelinedBytes_ = PipelineLimits::kDefaultMaxResponseBytes;
   std::chrono::milliseconds drainTimeout_ = kDefaultDrainTimeout;
+  std::chrono::milliseconds applyBound_ = kDefaultApplyBound;
+  std::chrono::milliseconds contactBound_ = kDefaultContactBound;
+  double retryRatio_ = RetryBudget::kRetriesPerRequest;
+  std::vector<std::string> platformBounds_;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
+  static constexpr std::chrono::milliseconds kDefaultApplyBound{ 2000 };
+  static constexpr std::chrono::milliseconds kDefaultContactBound{ 3000 };
+};
+
+/// \brief Settings to which the bounds of a platform were applied.
+struct BoundedSettings
+{
+  const Settings settings_;
+  const Faults ignored_; ///< of the bounds that could not be used
 };
 
 /// \brief Collects settings and validates them together.
@@ -123,6 +149,12 @@
     : source_(std::move(aSource))
   {
   }
+  /// \param aBase Settings that are kept unless they are set again.
+  SettingsBuilder(std::string aSource, Settings aBase)
+    : source_(std::move(aSource))
+    , settings_(std::move(aBase))
+  {
+  }
 
   SettingsBuilder& PeerAddress(NodeAddress aAddress);
   SettingsBuilder& PeerListenAddress(NodeAddress aAddress);
@@ -143,6 +175,10 @@
   SettingsBuilder& MaxBodyBytes(std::size_t aBytes);
   SettingsBuilder& Pipelining(const PipelineLimits& aLimits);
   SettingsBuilder& DrainTimeout(std::chrono::milliseconds aTimeout);
+  SettingsBuilder& ApplyBound(std::chrono::milliseconds aBound);
+  SettingsBuilder& ContactBound(std::chrono::milliseconds aBound);
+  SettingsBuilder& RetryRatio(double aRatio);
+  SettingsBuilder& PlatformBounds(std::vector<std::string> aBounds);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -33,11 +33,12 @@
 class RetryBudget
 {
 public:
-  static constexpr double kRetriesPerRequest = 0.08;
-  static constexpr double kMaxBurst = 2; ///< unused retries that can accumulate
+  static constexpr double kRetriesPerRequest = 0.08; ///< unless the settings state another ratio
+  static constexpr double kMaxBurst = 2;             ///< unused retries that can accumulate
 
   [[nodiscard]] bool AllowsRetry() const noexcept { return tokens_ >= 1; }
-  [[nodiscard]] RetryBudget AfterRequest() const noexcept;
+  /// \param aRatio Retries that a request adds to the budget.
+  [[nodiscard]] RetryBudget AfterRequest(double aRatio = kRetriesPerRequest) const noexcept;
   [[nodiscard]] RetryBudget AfterRetry() const noexcept;
 
   auto operator<=>(const RetryBudget&) const = default;
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -30,6 +30,10 @@
   using Decoder = JsonItemDecoder;
 
   [[nodiscard]] static HeaderNames Headers() { return {}; }
+  [[nodiscard]] static BoundedSettings ApplyBounds(const Settings& aSettings)
+  {
+    return { aSettings, {} };
+  }
   [[nodiscard]] static Decoder MakeDecoder(const Settings& /*aSettings*/) { return {}; }
 };
 
@@ -45,9 +49,45 @@
 class NodeProcess
 {
 public:
+  /// \param aSettings As in the file, without the platform's bounds.
   /// \param aSettingsPath File that is read again on SIGHUP and when it changes.
   NodeProcess(const Settings& aSettings, std::string aSettingsPath)
-    : settings_(aSettings)
+    : NodeProcess(aSettings, InterfaceType::ApplyBounds(aSettings), std::move(aSettingsPath))
+  {
+  }
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+
+  /// \brief Runs until SIGTERM or SIGINT, then drains.
+  /// \returns The exit code: 0, or kExitNotDrained if requests were pending at the drain timeout.
+  int Run()
+  {
+    log_.Write(LogEvent("node_start")
+                 .With("node", settings_.PeerAddress().Text())
+                 .With("failure_domain", settings_.FailureDomainName())
+                 .With("service", settings_.OwnService())
+                 .With("incarnation", incarnation_)
+                 .With("drain_timeout_ms", settings_.DrainTimeout().count())
+                 .With("apply_bound_ms", settings_.ApplyBound().count())
+                 .With("contact_bound_ms", settings_.ContactBound().count()));
+    while (!signals_.StopRequested()) {
+      Step(node_.NextDeadline());
+    }
+    return Drain();
+  }
+
+private:
+  NodeProcess(const Settings& aFileSettings,
+              const BoundedSettings& aBounded,
+              std::string aSettingsPath)
+    : NodeProcess(aFileSettings, aBounded.settings_, std::move(aSettingsPath))
+  {
+    WriteIgnoredBounds(aBounded.ignored_);
+  }
+
+  NodeProcess(const Settings& aFileSettings, const Settings& aSettings, std::string aSettingsPath)
+    : fileSettings_(aFileSettings)
+    , settings_(aSettings)
     , incarnation_(MakeIncarnation())
     , decoder_(InterfaceType::MakeDecoder(aSettings))
     , signals_(loop_)
@@ -94,25 +134,7 @@
                                    {} });
     }
   }
-  NodeProcess(const NodeProcess&) = delete;
-  NodeProcess& operator=(const NodeProcess&) = delete;
 
-  /// \brief Runs until SIGTERM or SIGINT, then drains.
-  /// \returns The exit code: 0, or kExitNotDrained if requests were pending at the drain timeout.
-  int Run()
-  {
-    log_.Write(LogEvent("node_start")
-                 .With("node", settings_.PeerAddress().Text())
-                 .With("failure_domain", settings_.FailureDomainName())
-                 .With("service", settings_.OwnService())
-                 .With("incarnation", incarnation_));
-    while (!signals_.StopRequested()) {
-      Step(node_.NextDeadline());
-    }
-    return Drain();
-  }
-
-private:
   using ProcessPorts = NodePorts<const SystemClock,
                                  SecureRandom,
                                  LineLog,
@@ -195,7 +217,7 @@
 
   void ReloadSettings()
   {
-    const auto reload = settingsWatch_.Check(settings_, clock_.Now());
+    const auto reload = settingsWatch_.Check(fileSettings_, clock_.Now());
     if (!reload) {
       return;
     }
@@ -204,10 +226,20 @@
                    .With("fault", ToString(reload->faults_.front())));
       return;
     }
-    const auto needsRestart = !settings_.DiffersOnlyInReloadable(*reload->settings_);
+    const auto bounded = InterfaceType::ApplyBounds(*reload->settings_);
+    WriteIgnoredBounds(bounded.ignored_);
+    const auto needsRestart = !settings_.DiffersOnlyInReloadable(bounded.settings_);
     log_.Write(LogEvent("settings_reloaded").With("needs_restart", needsRestart));
     if (!needsRestart) {
-      settings_ = *reload->settings_;
+      fileSettings_ = *reload->settings_;
+      settings_ = bounded.settings_;
+    }
+  }
+
+  void WriteIgnoredBounds(const Faults& aFaults)
+  {
+    for (const auto& fault : aFaults) {
+      log_.Write(LogEvent("bound_ignored", Severity::Warning).With("fault", ToString(fault)));
     }
   }
 
@@ -226,7 +258,8 @@
   static constexpr std::size_t kMaxMessageBytes = 64U << 20U;
   static constexpr int kExitNotDrained = 3;
 
-  Settings settings_;
+  Settings fileSettings_;
+  Settings settings_; ///< those of the file with the platform's bounds
   std::uint64_t incarnation_;
   const SystemClock clock_{};
   SecureRandom random_;
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -35,6 +35,10 @@
     "max_body_bytes": { "type": "integer", "minimum": 1024, "maximum": 67108864 },
     "pipelined_requests": { "type": "integer", "minimum": 1, "maximum": 256 },
     "pipelined_bytes": { "type": "integer", "minimum": 0, "maximum": 67108864 },
+    "apply_bound_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
+    "contact_bound_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
+    "retry_ratio": { "type": "number", "minimum": 0, "maximum": 1 },
+    "platform_bounds": { "type": "array", "items": { "type": "string" } },
     "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
   }
 })json";
@@ -107,6 +111,14 @@
   if (aRoot.contains("drain_timeout_ms")) {
     builder.DrainTimeout(std::chrono::milliseconds(aRoot.at("drain_timeout_ms")));
   }
+  if (aRoot.contains("apply_bound_ms")) {
+    builder.ApplyBound(std::chrono::milliseconds(aRoot.at("apply_bound_ms")));
+  }
+  if (aRoot.contains("contact_bound_ms")) {
+    builder.ContactBound(std::chrono::milliseconds(aRoot.at("contact_bound_ms")));
+  }
+  builder.RetryRatio(aRoot.value("retry_ratio", RetryBudget::kRetriesPerRequest))
+    .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}));
   return builder;
 }
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -29,6 +29,7 @@
 {
   auto same = *this;
   same.drainTimeout_ = aOther.drainTimeout_;
+  same.platformBounds_ = aOther.platformBounds_; // the settings that they change are compared
   return same == aOther;
 }
 
@@ -166,6 +167,34 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::ApplyBound(std::chrono::milliseconds aBound)
+{
+  settings_.applyBound_ = aBound;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::ContactBound(std::chrono::milliseconds aBound)
+{
+  settings_.contactBound_ = aBound;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::RetryRatio(double aRatio)
+{
+  settings_.retryRatio_ = aRatio;
+  return *this;
+}
+
+SettingsBuilder&
+SettingsBuilder::PlatformBounds(std::vector<std::string> aBounds)
+{
+  settings_.platformBounds_ = std::move(aBounds);
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -30,10 +30,10 @@
 }
 
 RetryBudget
-RetryBudget::AfterRequest() const noexcept
+RetryBudget::AfterRequest(double aRatio) const noexcept
 {
   auto next = *this;
-  next.tokens_ = std::min(kMaxBurst, tokens_ + kRetriesPerRequest);
+  next.tokens_ = std::min(kMaxBurst, tokens_ + aRatio);
   return next;
 }
 
--- a/tests/process/platform_reader_test.cpp
+++ b/tests/process/platform_reader_test.cpp
@@ -124,7 +124,8 @@
 BOOST_FIXTURE_TEST_CASE(an_empty_watch_is_no_outage, Fixture)
 {
   Advance(milliseconds(300));
-  Advance(PlatformReader<ReaderPorts>::kWatchWait);
+  Advance(
+    ReaderTiming::Make(MakeSettings().ApplyBound(), MakeSettings().ContactBound()).watchWait_);
   AnswerWithRemoval();
   BOOST_TEST(!IsPublished(kOther));
 }
