Two nodes of each failure domain read the platform, and announcements repair missed pushes

Fewer watchers had broken a bound before: a node below a failed one in the tree of pushes learned of a version only by the random heartbeats of membership, and a failure domain whose first watchers had failed was told by the first watcher of the others alone. Change: in installations of more than 16 nodes two nodes of each failure domain watch. Each node announces a version 250, 500 and 1,000 ms after it applied it, along trees of another order; a node that lacks it pulls. Watchers announce it to other failure domains at the same times instead of at once, so that those read it themselves first.

--- a/include/geraniumpin/process/config_service.hpp
+++ b/include/geraniumpin/process/config_service.hpp
@@ -6,6 +6,7 @@
 #include "geraniumpin/process/watcher_rank.hpp"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -26,6 +27,13 @@
   static constexpr std::chrono::milliseconds kWatcherPullDelay{ 300 };
   /// Watchers of a failure domain that push a version to peers; the others only read it.
   static constexpr std::size_t kPushingWatchers = 2;
+  /// Times between the announcements of a version, the first one after it was applied. By then,
+  /// pushes and the watchers of other failure domains have delivered it wherever nothing failed.
+  static constexpr std::array<std::chrono::milliseconds, 3> kAnnounceDelays{
+    std::chrono::milliseconds(250),
+    std::chrono::milliseconds(250),
+    std::chrono::milliseconds(500)
+  };
 
   /// \param aOnSnapshot Called after each change of the running snapshot.
   ConfigService(NodeContext<PortSet>& aContext, std::function<void(const Snapshot&)> aOnSnapshot)
@@ -58,7 +66,14 @@
 
   void OnTimer()
   {
-    if (!delayedPull_ || context_.Now() < delayedPull_->at_) {
+    const auto now = context_.Now();
+    if (announceAt_ && now >= *announceAt_) {
+      Announce(++announcements_);
+      announceAt_ = announcements_ < kAnnounceDelays.size()
+                      ? std::optional(now + kAnnounceDelays.at(announcements_))
+                      : std::nullopt;
+    }
+    if (!delayedPull_ || now < delayedPull_->at_) {
       return;
     }
     const auto pull = *std::exchange(delayedPull_, std::nullopt);
@@ -69,7 +84,11 @@
 
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const
   {
-    return delayedPull_ ? std::optional(delayedPull_->at_) : std::nullopt;
+    auto next = announceAt_;
+    if (delayedPull_) {
+      next = next ? std::min(*next, delayedPull_->at_) : delayedPull_->at_;
+    }
+    return next;
   }
 
   /// \brief Requests the version of a peer.
@@ -113,13 +132,9 @@
     if (Apply(aDelta, "platform")) {
       return false;
     }
-    const auto rank = context_.ComputeWatcherRank().rank_;
-    if (rank < kPushingWatchers) {
+    if (context_.ComputeWatcherRank().rank_ < kPushingWatchers) {
       PushTo(Roots(), before);
     }
-    if (rank == 0) {
-      AnnounceToOtherDomains();
-    }
     return true;
   }
 
@@ -143,6 +158,10 @@
                      .With("changed_parts", aDelta.changed_.size())
                      .With("us", Microseconds(elapsed)));
     onSnapshot_(**applied);
+    // Not later than an announcement that is due, so that a burst of versions does not postpone it.
+    const auto announceAt = context_.Now() + kAnnounceDelays.front();
+    announceAt_ = std::min(announceAt_.value_or(announceAt), announceAt);
+    announcements_ = 0;
     return std::nullopt;
   }
 
@@ -211,7 +230,7 @@
   [[nodiscard]] std::vector<NodeAddress> Children() const
   {
     return TreeChildren(
-      context_.Versions().CurrentId().number_, context_.Self(), DisseminationNodes());
+      kPushTree, context_.Versions().CurrentId().number_, context_.Self(), DisseminationNodes());
   }
 
   /// The nodes to which versions are pushed: those that do not watch the platform.
@@ -219,7 +238,9 @@
   {
     auto ranked = RankNodes(MakeWatcherSubject(context_.NodeSettings().FailureDomainName()),
                             context_.AvailableNodes());
-    const auto watchers = WatcherRank{ .nodeCount_ = ranked.size() }.WatcherCount();
+    const auto watchers = WatcherRank{ .nodeCount_ = ranked.size(),
+                                       .totalNodes_ = context_.Versions().Current()->NodeCount() }
+                            .WatcherCount();
     ranked.erase(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(watchers));
     return ranked;
   }
@@ -227,7 +248,7 @@
   [[nodiscard]] std::vector<NodeAddress> Roots() const
   {
     return TreeRoots(
-      context_.Versions().CurrentId().number_, context_.Self(), DisseminationNodes());
+      kPushTree, context_.Versions().CurrentId().number_, context_.Self(), DisseminationNodes());
   }
 
   void PushTo(const std::vector<NodeAddress>& aPeers, const VersionId& aBefore)
@@ -247,9 +268,29 @@
     context_.Send(aPeer, VersionPush{ aDelta, aRelay });
   }
 
-  /// Sends heartbeats to the tree roots of each other failure domain; a root that lacks the version
-  /// pulls it.
-  void AnnounceToOtherDomains()
+  /// Sends heartbeats along another tree; a node that lacks the version pulls it. For the fault
+  /// that a node of the tree of pushes has failed, which all nodes below it would notice only by
+  /// chance, through the heartbeats of membership.
+  void Announce(TreeNumber aTree)
+  {
+    const auto nodes = DisseminationNodes();
+    const auto version = context_.Versions().CurrentId().number_;
+    const auto rank = context_.ComputeWatcherRank().rank_;
+    const bool isPusher = rank < kPushingWatchers;
+    const auto peers = isPusher ? TreeRoots(aTree, version, context_.Self(), nodes)
+                                : TreeChildren(aTree, version, context_.Self(), nodes);
+    for (const auto& peer : peers) {
+      context_.Send(peer, Heartbeat{});
+    }
+    if (isPusher) {
+      AnnounceToOtherDomains(
+        static_cast<TreeNumber>(kPushingWatchers * aTree + rank)); // all to different nodes
+    }
+  }
+
+  /// Sends heartbeats to the roots of a tree of each other failure domain, which may have no
+  /// watcher that reads the platform.
+  void AnnounceToOtherDomains(TreeNumber aTree)
   {
     const auto& snapshot = *context_.Versions().Current();
     for (const auto& domain : snapshot.FailureDomains()) {
@@ -257,7 +298,7 @@
       if (domain.name_ == context_.NodeSettings().FailureDomainName() || nodes.empty()) {
         continue;
       }
-      for (const auto& root : TreeRoots(snapshot.Id().number_, context_.Self(), nodes)) {
+      for (const auto& root : TreeRoots(aTree, snapshot.Id().number_, context_.Self(), nodes)) {
         context_.Send(root, Heartbeat{});
       }
     }
@@ -267,6 +308,8 @@
   std::function<void(const Snapshot&)> onSnapshot_;
   TimePoint nextPullAt_;
   std::optional<DelayedPull> delayedPull_;
+  std::optional<TimePoint> announceAt_; ///< next announcement of the running version
+  TreeNumber announcements_ = 0;        ///< of the running version
   VersionId reportedConflict_;
 };
 
--- a/include/geraniumpin/process/dissemination.hpp
+++ b/include/geraniumpin/process/dissemination.hpp
@@ -13,6 +13,13 @@
 /// \brief Nodes at the top of the tree, which get a version from the node that distributes it.
 inline constexpr std::size_t kTreeRoots = 2;
 
+/// \brief Numbers the trees of a version; each has an order of its own.
+using TreeNumber = std::uint32_t;
+
+/// \brief The tree along which nodes send a version. They announce it along the others, so that a
+/// node that the pushes missed pulls it.
+inline constexpr TreeNumber kPushTree = 0;
+
 /// \brief Returns the children of a node in the tree of one version.
 ///
 /// The tree is a heap over the nodes in an order that differs for each version, so that the inner
@@ -21,12 +28,16 @@
 /// \param aNodes The nodes of the failure domain, in any order.
 /// \returns Nothing if the node is not one of them.
 [[nodiscard]] std::vector<NodeAddress>
-TreeChildren(std::uint64_t aVersion,
+TreeChildren(TreeNumber aTree,
+             std::uint64_t aVersion,
              const NodeAddress& aSelf,
              const std::vector<NodeAddress>& aNodes);
 
 /// \brief Returns the nodes at the top of the tree of one version, without the node itself.
 [[nodiscard]] std::vector<NodeAddress>
-TreeRoots(std::uint64_t aVersion, const NodeAddress& aSelf, const std::vector<NodeAddress>& aNodes);
+TreeRoots(TreeNumber aTree,
+          std::uint64_t aVersion,
+          const NodeAddress& aSelf,
+          const std::vector<NodeAddress>& aNodes);
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -82,7 +82,9 @@
     }
     const auto available = AvailableNodes();
     const auto subject = MakeWatcherSubject(settings_.FailureDomainName());
-    return { .rank_ = FindRank(subject, Self(), available), .nodeCount_ = available.size() };
+    return { .rank_ = FindRank(subject, Self(), available),
+             .nodeCount_ = available.size(),
+             .totalNodes_ = versions_.Current()->NodeCount() };
   }
 
   /// \brief Removes and returns the oldest message that this node sent to itself.
--- a/include/geraniumpin/process/watcher_rank.hpp
+++ b/include/geraniumpin/process/watcher_rank.hpp
@@ -2,32 +2,34 @@
 
 #include "geraniumpin/process/clock.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <string>
 
 namespace geraniumpin {
 
-/// \brief Size up to which every node of a failure domain watches the platform, since reads are
-/// cheaper there than pushes between nodes.
-inline constexpr std::size_t kMaxNodesAllWatching = 6;
+/// \brief Number of nodes of all failure domains up to which every node watches the platform.
+///
+/// In a small installation, reads are cheaper than pushes between nodes.
+inline constexpr std::size_t kMaxNodesAllWatching = 16;
 
-/// \brief Number of nodes that watch the platform in larger failure domains.
+/// \brief Number of nodes of each failure domain that watch the platform in larger installations.
 ///
-/// Each change sends the whole document of the operators to every watcher. With three watchers a
-/// node of bobinaj-hub-grown received the removal of a leaving instance 33 ms after the bound
-/// (docs/PLATFORM.md).
-inline constexpr std::size_t kWatchers = 6;
+/// For the load pattern "calm day at size": each change costs one read for every watcher. Two are
+/// enough, since a failure domain without any gets its versions from the others (ConfigService).
+inline constexpr std::size_t kWatchers = 2;
 
 /// \brief Rank of a node among the available nodes of its failure domain; the first ones watch.
 struct WatcherRank
 {
   const std::size_t rank_ = 0;
-  const std::size_t nodeCount_ = 1; ///< available nodes of the failure domain, itself included
+  const std::size_t nodeCount_ = 1;  ///< available nodes of the failure domain, itself included
+  const std::size_t totalNodes_ = 1; ///< nodes of all failure domains
 
   [[nodiscard]] constexpr std::size_t WatcherCount() const noexcept
   {
-    return nodeCount_ <= kMaxNodesAllWatching ? nodeCount_ : kWatchers;
+    return totalNodes_ <= kMaxNodesAllWatching ? nodeCount_ : std::min(nodeCount_, kWatchers);
   }
   [[nodiscard]] constexpr bool IsWatcher() const noexcept { return rank_ < WatcherCount(); }
 
--- a/include/geraniumpin/version/snapshot.hpp
+++ b/include/geraniumpin/version/snapshot.hpp
@@ -73,6 +73,9 @@
   /// \brief Returns the nodes of all failure domains.
   [[nodiscard]] std::vector<NodeAddress> AllNodes() const;
 
+  /// \brief Returns the number of nodes of all failure domains.
+  [[nodiscard]] std::size_t NodeCount() const;
+
   bool operator==(const Snapshot& aOther) const noexcept { return id_ == aOther.id_; }
 
 private:
--- a/src/process/dissemination.cpp
+++ b/src/process/dissemination.cpp
@@ -11,20 +11,22 @@
 namespace {
 
 std::vector<NodeAddress>
-TreeOrder(std::uint64_t aVersion, const std::vector<NodeAddress>& aNodes)
+TreeOrder(TreeNumber aTree, std::uint64_t aVersion, const std::vector<NodeAddress>& aNodes)
 {
-  return RankNodes("tree/" + std::to_string(aVersion), aNodes);
+  const auto salt = aTree == kPushTree ? "" : std::to_string(aTree) + "/";
+  return RankNodes("tree/" + salt + std::to_string(aVersion), aNodes);
 }
 
 } // namespace
 } // namespace impl
 
 std::vector<NodeAddress>
-TreeChildren(std::uint64_t aVersion,
+TreeChildren(TreeNumber aTree,
+             std::uint64_t aVersion,
              const NodeAddress& aSelf,
              const std::vector<NodeAddress>& aNodes)
 {
-  const auto order = impl::TreeOrder(aVersion, aNodes);
+  const auto order = impl::TreeOrder(aTree, aVersion, aNodes);
   const auto self = std::find(order.begin(), order.end(), aSelf);
   if (self == order.end()) {
     return {};
@@ -37,9 +39,12 @@
 }
 
 std::vector<NodeAddress>
-TreeRoots(std::uint64_t aVersion, const NodeAddress& aSelf, const std::vector<NodeAddress>& aNodes)
+TreeRoots(TreeNumber aTree,
+          std::uint64_t aVersion,
+          const NodeAddress& aSelf,
+          const std::vector<NodeAddress>& aNodes)
 {
-  auto order = impl::TreeOrder(aVersion, aNodes);
+  auto order = impl::TreeOrder(aTree, aVersion, aNodes);
   order.resize(std::min(order.size(), kTreeRoots));
   std::erase(order, aSelf);
   return order;
--- a/src/version/snapshot.cpp
+++ b/src/version/snapshot.cpp
@@ -182,6 +182,16 @@
   return all;
 }
 
+std::size_t
+Snapshot::NodeCount() const
+{
+  std::size_t count = 0;
+  for (const auto& domain : FailureDomains()) {
+    count += FindNodes(domain.name_).size();
+  }
+  return count;
+}
+
 const CallerLimits&
 Snapshot::GetCallerLimits() const noexcept
 {
--- a/tests/process/convergence_test.cpp
+++ b/tests/process/convergence_test.cpp
@@ -51,6 +51,70 @@
   }
 }
 
+// Guards against a version that misses the nodes below a failed one of the tree, or a failure
+// domain whose watchers have failed, for longer than the bound: few nodes read the platform.
+BOOST_AUTO_TEST_CASE(few_watchers_keep_the_bound_while_nodes_fail)
+{
+  constexpr milliseconds kBound{ 2000 }; // for applying a version, the tightest one stated
+  constexpr int kStoppedPercent = 15;
+  constexpr int kUnreachablePercent = 20;
+  constexpr DocumentOptions shape{ .domains_ = 3, .nodesPerDomain_ = 20 };
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      FakeMesh mesh(seed);
+      const auto nodes = StartAll(mesh, shape);
+      std::mt19937_64 random(seed);
+      const auto draw = [&](int aPercent) {
+        return random() % 100 < static_cast<unsigned>(aPercent);
+      };
+      std::set<NodeAddress> unreachable; // from the platform
+      std::vector<NodeAddress> running;
+      const bool domainWithoutWatchers = seed % 2 == 0;
+      for (const auto& node : nodes) {
+        const bool isWatcher = mesh.At(node).Status().watcher_;
+        if (domainWithoutWatchers && isWatcher &&
+            mesh.At(node).Status().failureDomain_ == "zone-1") {
+          mesh.Pause(node);
+        } else if (draw(kStoppedPercent)) {
+          draw(50) ? mesh.Kill(node) : mesh.Pause(node);
+        } else {
+          running.push_back(node);
+          if (draw(kUnreachablePercent)) {
+            unreachable.insert(node);
+          }
+        }
+      }
+      mesh.isPlatformUnreachable_ = [&](const NodeAddress& aNode) {
+        return unreachable.contains(aNode);
+      };
+      mesh.Run(milliseconds(random() % 500));
+      mesh.Publish(MakeVersion(2, shape));
+      mesh.Run(kBound);
+      ExpectVersion(mesh, running, 2);
+    }
+  }
+}
+
+// Load pattern "calm day at size": what the platform is asked, against one read a change and node.
+BOOST_AUTO_TEST_CASE(a_change_costs_few_reads)
+{
+  constexpr DocumentOptions shape{ .domains_ = 3, .nodesPerDomain_ = 20 };
+  FakeMesh mesh(1);
+  const auto nodes = StartAll(mesh, shape);
+  const auto countReaders = [&] {
+    const auto before = mesh.platformReads_;
+    mesh.Publish(MakeVersion(2, shape));
+    mesh.Run(kTarget);
+    return std::count_if(nodes.begin(), nodes.end(), [&](const NodeAddress& aNode) {
+      const auto known = before.find(aNode);
+      return mesh.platformReads_[aNode] > (known == before.end() ? 0 : known->second);
+    });
+  };
+  BOOST_TEST(countReaders() <= 2 * shape.domains_);
+  ExpectVersion(mesh, nodes, 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_version_reaches_every_node_in_time_over_faulty_links)
 {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
