An owner refuses first attempts while its instance fails most requests

Cause: each of many entry nodes learned of a failing instance by failing there itself; callers got the instance's 500. Change: FailureBreaker at the owner, which sees all results. While it is open, first attempts are refused as not run and go elsewhere at no retry budget; a trial a second; further attempts pass, so that requests still run if all instances fail. New reason instance_failing, events instance_failing and instance_recovered.

--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -2,6 +2,7 @@
 
 #include "geraniumpin/process/admission.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
+#include "geraniumpin/process/failure_breaker.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
 
@@ -72,6 +73,7 @@
     slowStart.SetRate(service.coldRatePerSecond_);
     if (instanceChanged) {
       replacedUntil_.reset();
+      breaker_ = {};
       instanceSince_ = context_.Now();
       admission_.Restart(InstanceController::Make(server.slots_ > 0), slots);
       if (!server.cold_) {
@@ -106,6 +108,7 @@
     if (replacedUntil_) {
       replacedUntil_ = context_.Now() + kReplacedInstanceRetry; // this request is the only trial
     }
+    breaker_ = breaker_.AfterAdmission(context_.Now());
     Admit(id, aEnvelope.sender_, aRequest, aDelay);
   }
 
@@ -140,6 +143,7 @@
     context_.GetMetrics().Record("backend_ms", context_.Now() - startedAt);
     UpdateAvailability(aEnd.result_);
     UpdateReplacement(found->second, aEnd.result_);
+    UpdateBreaker(aEnd);
     auto actions = admission_.OnEnd(ClassifyEnd(aEnd), startedAt, context_.Now());
     EndAttempt(aEnd.id_, MakeAnswer(aEnd));
     ExecuteActions(actions);
@@ -217,8 +221,14 @@
     if (const auto refusal = CheckRouteAndKey(*snapshot, aEnvelope, aRequest)) {
       return refusal;
     }
-    const bool replaced = replacedUntil_ && context_.Now() < *replacedUntil_;
-    return replaced ? std::optional(Reason::InstanceReplaced) : std::nullopt;
+    if (replacedUntil_ && context_.Now() < *replacedUntil_) {
+      return Reason::InstanceReplaced;
+    }
+    const bool isFirstAttempt = aRequest.attempt_ == 1;
+    if (isFirstAttempt && !breaker_.AllowsFirstAttempt(context_.Now())) {
+      return Reason::InstanceFailing;
+    }
+    return std::nullopt;
   }
 
   /// Checks route and key again, since this node may run a newer version than the sender.
@@ -281,6 +291,22 @@
     RefuseQueued(Reason::InstanceReplaced);
   }
 
+  void UpdateBreaker(const BackendCompletion& aEnd)
+  {
+    const bool answered = aEnd.result_ == BackendResult::Answered;
+    if (!answered && aEnd.result_ != BackendResult::Broken) {
+      return; // refused, or never reached the instance
+    }
+    const bool wasOpen = breaker_.IsOpen();
+    breaker_ = breaker_.AfterResult(!answered || IsServerError(aEnd.status_), context_.Now());
+    if (breaker_.IsOpen() != wasOpen) {
+      context_.Write(
+        LogEvent(wasOpen ? "instance_recovered" : "instance_failing", Severity::Warning)
+          .With("instance", instance_)
+          .With("status", aEnd.status_));
+    }
+  }
+
   void RefuseQueued(Reason aReason)
   {
     std::vector<AttemptId> queued;
@@ -549,6 +575,7 @@
   TimePoint instanceSince_{};    ///< when the published instance last changed
   /// Set while another instance seems to have the address; until then no request is sent to it.
   std::optional<TimePoint> replacedUntil_;
+  FailureBreaker breaker_;
   Duration coldTime_ = kDefaultColdTime;
   std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
--- a/include/geraniumpin/request/outcome.hpp
+++ b/include/geraniumpin/request/outcome.hpp
@@ -40,11 +40,12 @@
   Cancelled,         ///< the caller closed its connection
   ServiceNotHere,    ///< the instance of the owner does not serve the route or service
   Misdirected,       ///< another instance at the address of the expected one refused the request
-  InstanceReplaced   ///< not sent: another instance has refused earlier requests at the address
+  InstanceReplaced,  ///< not sent: another instance has refused earlier requests at the address
+  InstanceFailing    ///< not sent: the instance fails most of its requests
 };
 
 /// \brief The reason with the highest number, for decoders.
-inline constexpr Reason kLastReason = Reason::InstanceReplaced;
+inline constexpr Reason kLastReason = Reason::InstanceFailing;
 
 /// \brief Returns true if the instance accepts no requests at all for now.
 ///
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -13,6 +13,7 @@
     case Reason::PeerSilent:
     case Reason::Misdirected:
     case Reason::InstanceReplaced:
+    case Reason::InstanceFailing:
       return true;
     default:
       return false;
@@ -89,6 +90,8 @@
       return "misdirected";
     case Reason::InstanceReplaced:
       return "instance_replaced";
+    case Reason::InstanceFailing:
+      return "instance_failing";
   }
   return "invalid";
 }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -632,6 +632,56 @@
   BOOST_TEST((call().outcome_ == Outcome::Answered));
 }
 
+// Load pattern "instance that fails its work, among many entry nodes": the owner refuses first
+// attempts, which run elsewhere.
+BOOST_AUTO_TEST_CASE(a_failing_instance_gets_few_requests_although_many_entry_nodes_send)
+{
+  FakeMesh mesh(31);
+  const auto nodes =
+    StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 12, .rate_ = 5000, .burst_ = 5000 });
+  mesh.serviceTime_ = milliseconds(20);
+  mesh.getBackendResult_ = [&](const NodeAddress& aNode) {
+    return aNode == nodes.front() ? BackendResult::Broken : BackendResult::Answered;
+  };
+  for (std::size_t i = 0; i < 600; ++i) {
+    mesh.Call(nodes[i % nodes.size()], "", "GET", "/public/x");
+    mesh.Run(milliseconds(10));
+  }
+  const auto failing = std::count_if(
+    mesh.backendRequests_.begin(), mesh.backendRequests_.end(), [](const BackendRequest& aRequest) {
+      return aRequest.instance_ == "orders-1-1";
+    });
+  BOOST_TEST(failing <= 4 + 6); // until the breaker opens, and a trial a second
+}
+
+// Guards against a service that no node tries any more after all of its instances have failed.
+BOOST_AUTO_TEST_CASE(requests_run_while_all_instances_fail_and_are_answered_once_they_work)
+{
+  FakeMesh mesh(32);
+  const auto nodes =
+    StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 6, .rate_ = 5000, .burst_ = 5000 });
+  mesh.serviceTime_ = milliseconds(20);
+  const auto callAll = [&](int aCalls) {
+    std::vector<CallId> ids;
+    for (int i = 0; i < aCalls; ++i) {
+      ids.push_back(
+        mesh.Call(nodes[static_cast<std::size_t>(i) % nodes.size()], "", "GET", "/public/x"));
+      mesh.Run(milliseconds(10));
+    }
+    mesh.Run(milliseconds(500));
+    return ids;
+  };
+  mesh.getBackendResult_ = [](const NodeAddress&) { return BackendResult::Broken; };
+  callAll(200);
+  const auto runs = mesh.backendRequests_.size();
+  callAll(100);
+  BOOST_TEST(mesh.backendRequests_.size() - runs >= 90U);
+  mesh.getBackendResult_ = nullptr;
+  for (const auto& id : callAll(100)) {
+    BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Answered));
+  }
+}
+
 // A late response to the first attempt has the same request id as the second one, so the second one
 // needs another connection.
 BOOST_AUTO_TEST_CASE(a_second_attempt_at_the_same_instance_is_marked_as_repeated)
