A failing instance counts as one full instance in the decision to spill over

Cause: the load of an instance that fails its work is up to 40 times that of a full one, so a single one raised the mean load of its failure domain above the threshold, and its requests went to other failure domains. Change: each instance adds at most 1 to the mean. Result: one_failing_instance_does_not_make_its_failure_domain_spill_over (mean of 4 at 0.4 and one at 40).

--- a/include/geraniumpin/request/instance_choice.hpp
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -33,6 +33,9 @@
 inline constexpr double kSpillBackLoad = 0.7;
 
 /// \brief Decides by the average local load whether requests spill over, with hysteresis.
+///
+/// An instance counts as full at most. For the load pattern "instance that fails its work": its
+/// load is many times that of a full one, and alone it would make the others send their work away.
 /// \param aSpilling The previous decision.
 /// \returns True also if there is no local candidate.
 [[nodiscard]] bool
--- a/src/request/instance_choice.cpp
+++ b/src/request/instance_choice.cpp
@@ -1,5 +1,7 @@
 #include "geraniumpin/request/instance_choice.hpp"
 
+#include <algorithm>
+
 namespace geraniumpin {
 
 bool
@@ -9,7 +11,7 @@
   std::size_t count = 0;
   for (const auto& candidate : aCandidates) {
     if (candidate.local_) {
-      load += candidate.loadReport_.load_;
+      load += std::min(candidate.loadReport_.load_, 1.0);
       ++count;
     }
   }
--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -137,6 +137,7 @@
     { Outcome::NotRun, Reason::Shed, true, true, false },
     { Outcome::NotRun, Reason::Misdirected, true, false, true },
     { Outcome::NotRun, Reason::InstanceReplaced, false, false, true },
+    { Outcome::NotRun, Reason::InstanceFailing, false, false, true },
     { Outcome::NotRun, Reason::ConnectFailed, false, false, true },
     { Outcome::NotRun, Reason::WrongNode, false, false, false },
     { Outcome::NotRun, Reason::ServiceNotHere, false, false, false },
@@ -179,6 +180,20 @@
   BOOST_TEST(!DecideSpillOver(candidates(0.6), true));
 }
 
+// Load pattern "instance that fails its work": one such instance among many made its whole failure
+// domain send requests to the others, whose bytes are expensive.
+BOOST_AUTO_TEST_CASE(one_failing_instance_does_not_make_its_failure_domain_spill_over)
+{
+  const BackendServer server{ .name_ = "a", .failureDomain_ = "z", .node_ = {} };
+  std::vector<Candidate> candidates;
+  for (int i = 0; i < 4; ++i) {
+    candidates.push_back({ &server, { 0.4, true }, true });
+  }
+  candidates.push_back({ &server, { 40, true }, true });
+  BOOST_TEST(!DecideSpillOver(candidates, false));
+  BOOST_TEST(!DecideSpillOver(candidates, true));
+}
+
 BOOST_AUTO_TEST_CASE(the_faster_of_two_equally_loaded_instances_is_chosen)
 {
   std::mt19937_64 random(1);
