--- a/tests/connection/pipelined_connections_test.cpp
+++ b/tests/connection/pipelined_connections_test.cpp
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE pipelined_connections
 #include "../support/http_server_cases.hpp"
 
+#include <cstdlib>
+#include <random>
+
 namespace geraniumpin::test {
 
 const std::optional<PipelineLimits> kPipelining = PipelineLimits{};
@@ -40,13 +43,19 @@
   for (int i = 0; i < 8; ++i) {
     requests += Get("/" + std::to_string(i));
   }
+  const auto sentAt = clock_.Now();
   client.Write(requests);
   AwaitRequests(8);
+  RunLoop(milliseconds(240)); // the work of each request
   for (std::size_t i = 0; i < 8; ++i) {
     Respond(7 - i, "answer " + std::to_string(7 - i));
   }
-  RunLoop(milliseconds(20));
-  const auto responses = client.Read();
+  std::string responses;
+  while (CountResponses(responses) < 8 && clock_.Now() - sentAt < milliseconds(1000)) {
+    loop_.RunOnce(clock_.Now() + milliseconds(1));
+    responses += client.Read();
+  }
+  BOOST_TEST((clock_.Now() - sentAt < milliseconds(300)));
   BOOST_TEST(CountResponses(responses) == 8U);
   std::size_t last = 0;
   for (int i = 0; i < 8; ++i) {
@@ -55,6 +64,7 @@
     BOOST_TEST(at >= last);
     last = at;
   }
+  RunLoop(milliseconds(5));
   BOOST_TEST(server_.IsIdle());
 }
 
@@ -296,6 +306,70 @@
   BOOST_TEST((server_.ArrivedAt(requests_[1].first) == arrivedAt));
 }
 
+// Guards against a malformed request that ends the process or leaves a connection behind.
+// FUZZ_INPUTS sets the number of inputs; the seed of each is its number.
+BOOST_FIXTURE_TEST_CASE(mutated_requests_leave_nothing_behind, Fixture)
+{
+  const char* inputs = std::getenv("FUZZ_INPUTS");
+  const int count = inputs == nullptr ? 200 : std::atoi(inputs);
+  const std::vector<std::string> samples{
+    Get("/1"),
+    Get("/serial"),
+    Post("/2", "body"),
+    "POST /3 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    "GET /4 HTTP/1.0\r\nconnection: keep-alive\r\n\r\n",
+    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    "GET /5 HTTP/1.1\r\nhost: a\r\nupgrade: h2c\r\nconnection: upgrade\r\n\r\n"
+  };
+  for (int seed = 1; seed <= count; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      std::mt19937 random(static_cast<unsigned>(seed));
+      std::string text;
+      for (auto i = random() % 6 + 1; i > 0; --i) {
+        text += samples[random() % samples.size()];
+      }
+      for (auto i = random() % 6; i > 0 && !text.empty(); --i) {
+        const auto at = random() % text.size();
+        switch (random() % 4) {
+          case 0:
+            text[at] = static_cast<char>(random());
+            break;
+          case 1:
+            text.erase(at, random() % 8);
+            break;
+          case 2:
+            text.insert(at, std::string(random() % 40, static_cast<char>(random())));
+            break;
+          default:
+            text.resize(at);
+        }
+      }
+      ScriptedClient client(address_);
+      std::string received;
+      while (!text.empty()) {
+        const auto size = std::min<std::size_t>(text.size(), random() % 60 + 1);
+        client.TryWrite(text.substr(0, size));
+        text.erase(0, size);
+        loop_.RunOnce(clock_.Now());
+        for (; answers_ < requests_.size(); ++answers_) {
+          Respond(answers_, "x");
+        }
+        received += client.Read();
+      }
+      random() % 2 == 0 ? client.Close() : client.Reset();
+      for (int i = 0; i < 20 && server_.Counters().openConnections_ > 0; ++i) {
+        loop_.RunOnce(clock_.Now() + milliseconds(5));
+        for (; answers_ < requests_.size(); ++answers_) {
+          Respond(answers_, "x");
+        }
+      }
+      BOOST_REQUIRE(server_.IsIdle());
+      BOOST_REQUIRE(server_.Counters().openConnections_ == 0U);
+    }
+  }
+}
+
 // Guards against callers over HTTP/2 that are lost: by prior knowledge and by upgrade.
 BOOST_FIXTURE_TEST_CASE(http_2_is_still_served, Fixture)
 {
