Queued requests are refused when another service gets the address of their owner

Cause, by the test: an owner starts a queued request at whatever instance its address has by then. Where the address goes to an instance of another service, the id that is sent along is that of the new instance, which runs the request; where the instance has gone, no id is sent at all. A node that starts on a reused address with an older version gets into this within the queue timeout. Change: a change of the service, or the end of the instance, refuses what is queued as not run. Result: queued_requests_are_refused_when_another_service_gets_the_address failed before, passes.

--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -56,6 +56,7 @@
       service_.clear();
       instance_.clear();
       acceptsWork_ = false;
+      RefuseQueued(Reason::ServiceNotHere);
       return;
     }
     const auto& service = placement->service_;
@@ -63,7 +64,7 @@
     const bool instanceChanged = instance_ != server.name_ || startedAt_ != server.startedAt_;
     const bool wasInService =
       std::exchange(inService_, aSnapshot.FindFailureDomain(server.failureDomain_)->inService_);
-    service_ = service.name_;
+    const bool serviceChanged = std::exchange(service_, service.name_) != service.name_;
     instance_ = server.name_;
     startedAt_ = server.startedAt_;
     acceptsWork_ = server.state_ == InstanceState::Ready;
@@ -88,6 +89,9 @@
     }
     wasOutOfService_ = wasOutOfService_ || !inService_;
     WriteInstance(server, slots, instanceChanged);
+    if (serviceChanged) {
+      RefuseQueued(Reason::ServiceNotHere); // the instance would run them for another service
+    }
   }
 
   /// \brief Checks an attempt, then starts, queues or refuses it; repeated messages are dropped.
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -632,6 +632,40 @@
   BOOST_TEST((call().outcome_ == Outcome::Answered));
 }
 
+// Guards against a request that runs at an instance of another service: it waited in the queue of
+// an owner while the address of its VM went to that instance.
+BOOST_AUTO_TEST_CASE(queued_requests_are_refused_when_another_service_gets_the_address)
+{
+  FakeMesh mesh(33);
+  const DocumentOptions shape{ .domains_ = 1, .nodesPerDomain_ = 2, .slots_ = 1 };
+  const auto nodes = StartAll(mesh, shape);
+  mesh.serviceTime_ = milliseconds(300);
+  std::vector<CallId> ids;
+  for (int i = 0; i < 8; ++i) {
+    ids.push_back(mesh.Call(nodes.back(), "", "GET", "/public/x"));
+  }
+  mesh.Run(milliseconds(10));
+  BOOST_REQUIRE(mesh.At(nodes.front()).Status().queued_ > 0U);
+  auto document = MakeDocument(shape);
+  document["version"] = 2;
+  auto& services = document["services"];
+  auto billing = services[0];
+  billing["name"] = "billing";
+  billing["backend_servers"] = { services[0]["backend_servers"][0] };
+  billing["backend_servers"][0]["name"] = "billing-1-1";
+  services[0]["backend_servers"].erase(0);
+  services.push_back(billing);
+  mesh.Publish(Encode(document));
+  mesh.Run(std::chrono::seconds(3));
+  BOOST_REQUIRE(mesh.At(nodes.front()).Status().version_.number_ == 2U);
+  for (const auto& request : mesh.backendRequests_) {
+    BOOST_TEST(request.instance_ != "billing-1-1");
+  }
+  for (const auto& id : ids) {
+    BOOST_TEST(mesh.answers_.contains(id));
+  }
+}
+
 // Load pattern "instance that fails its work, among many entry nodes": the owner refuses first
 // attempts, which run elsewhere.
 BOOST_AUTO_TEST_CASE(a_failing_instance_gets_few_requests_although_many_entry_nodes_send)
