--- a/tests/connection/request_pipeline_test.cpp
+++ b/tests/connection/request_pipeline_test.cpp
@@ -16,7 +16,7 @@
 BOOST_AUTO_TEST_CASE(the_load_of_pipelined_lookups_runs_side_by_side_up_to_the_limit)
 {
   Pipeline pipeline({ .maxRequests_ = 3 });
-  for (const std::uint64_t id : { 1, 2, 3 }) {
+  for (const std::uint64_t id : { 1U, 2U, 3U }) {
     BOOST_TEST((pipeline.Evaluate(true) == StartDecision::Start));
     pipeline.OnStarted(id, true, true);
   }
--- a/tests/platform/operating_bounds_test.cpp
+++ b/tests/platform/operating_bounds_test.cpp
@@ -37,8 +37,9 @@
 std::vector<std::string>
 Replace(std::vector<std::string> aBounds, const std::string& aName, const std::string& aText)
 {
+  const auto prefix = aName + "=";
   for (auto& bound : aBounds) {
-    bound = bound.starts_with(aName + "=") ? aText : bound;
+    bound = bound.starts_with(prefix) ? aText : bound;
   }
   return aBounds;
 }
