--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -640,8 +640,10 @@
   const DocumentOptions shape{ .domains_ = 1, .nodesPerDomain_ = 2, .slots_ = 1 };
   const auto nodes = StartAll(mesh, shape);
   mesh.serviceTime_ = milliseconds(300);
+  constexpr std::size_t kCalls = 8;
   std::vector<CallId> ids;
-  for (int i = 0; i < 8; ++i) {
+  ids.reserve(kCalls);
+  for (std::size_t i = 0; i < kCalls; ++i) {
     ids.push_back(mesh.Call(nodes.back(), "", "GET", "/public/x"));
   }
   mesh.Run(milliseconds(10));
