--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -185,10 +185,7 @@
 BOOST_AUTO_TEST_CASE(one_failing_instance_does_not_make_its_failure_domain_spill_over)
 {
   const BackendServer server{ .name_ = "a", .failureDomain_ = "z", .node_ = {} };
-  std::vector<Candidate> candidates;
-  for (int i = 0; i < 4; ++i) {
-    candidates.push_back({ &server, { 0.4, true }, true });
-  }
+  std::vector<Candidate> candidates(4, Candidate{ &server, { 0.4, true }, true });
   candidates.push_back({ &server, { 40, true }, true });
   BOOST_TEST(!DecideSpillOver(candidates, false));
   BOOST_TEST(!DecideSpillOver(candidates, true));
