--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -260,7 +260,7 @@
 
   Settings fileSettings_;
   Settings settings_; ///< those of the file with the platform's bounds
-  std::uint64_t incarnation_;
+  std::uint64_t incarnation_ = 0;
   const SystemClock clock_{};
   SecureRandom random_;
   LineLog log_{ STDOUT_FILENO };
