--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_client.hpp"
 
 #include "../process/system_clock.hpp"
+#include "../request/lower_case.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -53,16 +54,6 @@
   return head + "\r\n";
 }
 
-std::string
-LowerCase(std::string_view aName)
-{
-  std::string name(aName);
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  return name;
-}
-
 /// Parses "timeout=N" of a Keep-Alive field.
 std::optional<std::chrono::seconds>
 ParseKeepAliveTimeout(std::string_view aText) noexcept
@@ -404,9 +395,8 @@
     auto& response = aConnection->parser_->get();
     HeaderFields headers;
     for (const auto& field : response) {
-      headers.push_back(
-        { impl::LowerCase({ field.name_string().data(), field.name_string().size() }),
-          { field.value().data(), field.value().size() } });
+      headers.push_back({ LowerCase({ field.name_string().data(), field.name_string().size() }),
+                          { field.value().data(), field.value().size() } });
     }
     auto lifetime = std::chrono::duration_cast<Duration>(limits_.idleTimeout_);
     if (const auto keepAliveTimeout =
--- a/src/adapters/connection/pipelined_connections.cpp
+++ b/src/adapters/connection/pipelined_connections.cpp
@@ -1,5 +1,6 @@
 #include "pipelined_connections.hpp"
 
+#include "../request/lower_case.hpp"
 #include "stream_state.hpp"
 
 #include <algorithm>
@@ -66,16 +67,6 @@
   return { aText.data(), aText.size() };
 }
 
-std::string
-LowerCase(std::string_view aName)
-{
-  std::string name(aName);
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  return name;
-}
-
 } // namespace
 } // namespace impl
 
@@ -285,7 +276,7 @@
       return false;
     }
     aConnection.needsContinue_ =
-      impl::LowerCase(impl::ToView(request[impl::http::field::expect])) == "100-continue";
+      LowerCase(impl::ToView(request[impl::http::field::expect])) == "100-continue";
     return true;
   }
 
@@ -334,7 +325,7 @@
       const bool isForConnection =
         field.name() == impl::http::field::host || field.name() == impl::http::field::expect;
       if (!isForConnection) {
-        headers.push_back({ impl::LowerCase(impl::ToView(field.name_string())),
+        headers.push_back({ LowerCase(impl::ToView(field.name_string())),
                             std::string(impl::ToView(field.value())) });
       }
     }
