--- a/include/geraniumpin/process/watcher_rank.hpp
+++ b/include/geraniumpin/process/watcher_rank.hpp
@@ -11,10 +11,10 @@
 
 /// \brief Number of nodes of all failure domains up to which every node watches the platform.
 ///
-/// In a small installation, reads are cheaper than pushes between nodes.
+/// In a small deployment, reads are cheaper than pushes between nodes.
 inline constexpr std::size_t kMaxNodesAllWatching = 16;
 
-/// \brief Number of nodes of each failure domain that watch the platform in larger installations.
+/// \brief Number of nodes of each failure domain that watch the platform in larger deployments.
 ///
 /// For the load pattern "calm day at size": each change costs one read for every watcher. Two are
 /// enough, since a failure domain without any gets its versions from the others (ConfigService).
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -132,7 +132,7 @@
 // Load patterns "burst of versions" and "calm day at size": every watcher reads each change, and
 // gets the whole document with it. Six watchers of each failure domain were the largest cost of a
 // calm day.
-BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_installation_watch_and_two_of_each_domain_of_a_large_one)
+BOOST_AUTO_TEST_CASE(all_nodes_of_a_small_deployment_watch_and_two_of_each_domain_of_a_large_one)
 {
   const auto watchers = [](std::size_t aMembers, std::size_t aTotal) {
     std::size_t count = 0;
