--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -4,14 +4,17 @@
 ///
 ///     review-standin ports COUNT                          prints free ports
 ///     review-standin store ADDRESS...                     the platform's store
-///     review-standin put ADDRESS PATH [BODY]              a control call to the store
+///     review-standin relay ADDRESS=TARGET...              a network; SIGUSR1: open connections go
+///     silent review-standin put ADDRESS PATH [BODY]              a control call to the store
 ///     review-standin instance ADDRESS ID WORK_MS LOG      an instance; LOG gets what it runs
 ///     review-standin ready ADDRESS                        exits with 0 if the node is ready
 ///     review-standin send ADDRESS OPTIONS                 consumers; prints a line for each
 ///     request
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
@@ -406,6 +409,104 @@
   return 0;
 }
 
+/// Raised by SIGUSR1; connections that were opened before carry no bytes any more.
+std::atomic<int> silences{ 0 };
+/// Odd during the cut.
+std::atomic<int> cuts{ 0 };
+std::set<std::string> cutMachines;
+constexpr int kCutPollMs = 20;
+
+std::string
+IpOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.find(':'));
+}
+
+/// The nodes connect to each other from their own IP, and to the store from any.
+std::string
+FindClient(int aFd, const std::string& aListenAddress)
+{
+  sockaddr_in peer{};
+  socklen_t length = sizeof peer;
+  getpeername(aFd, reinterpret_cast<sockaddr*>(&peer), &length);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+  const std::string ip(text.data());
+  return ip == "127.0.0.1" ? IpOf(aListenAddress) : ip;
+}
+
+void
+WaitWhileCut(bool aCrosses)
+{
+  while (aCrosses && cuts % 2 == 1) {
+    std::this_thread::sleep_for(milliseconds(kCutPollMs));
+  }
+}
+
+/// Passes on what a connection has received. Returns false once it has ended.
+bool
+PassOn(int aFrom, int aTo)
+{
+  std::array<char, 65536> bytes{};
+  const auto count = recv(aFrom, bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (count < 0) {
+    return errno == EAGAIN;
+  }
+  return count > 0 && SendAll(aTo, std::string(bytes.data(), static_cast<std::size_t>(count)));
+}
+
+void
+Relay(int aFd, const std::string& aListenAddress, const std::string& aTarget)
+{
+  const int openedAt = silences;
+  const bool crosses =
+    cutMachines.contains(FindClient(aFd, aListenAddress)) != cutMachines.contains(IpOf(aTarget));
+  WaitWhileCut(crosses);
+  const int target = Connect(aTarget);
+  if (target < 0) {
+    return;
+  }
+  const int on = 1;
+  setsockopt(aFd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  while (true) {
+    WaitWhileCut(crosses);
+    if (silences != openedAt) {
+      std::this_thread::sleep_for(milliseconds(1000)); // silent for good, without a reset
+      continue;
+    }
+    std::array<pollfd, 2> ends{ { { aFd, POLLIN, 0 }, { target, POLLIN, 0 } } };
+    const bool isReadable = poll(ends.data(), ends.size(), kCutPollMs) > 0;
+    if (isReadable && silences == openedAt && !(crosses && cuts % 2 == 1) &&
+        !(PassOn(aFd, target) && PassOn(target, aFd))) {
+      break;
+    }
+  }
+  close(target);
+}
+
+int
+RunRelay(const std::vector<std::string>& aLinks)
+{
+  std::signal(SIGUSR1, [](int) { ++silences; });
+  std::signal(SIGUSR2, [](int) { ++cuts; });
+  const auto cut = std::find(aLinks.begin(), aLinks.end(), "cut");
+  if (cut != aLinks.end()) {
+    cutMachines.insert(cut + 1, aLinks.end());
+  }
+  std::vector<std::thread> listeners;
+  listeners.reserve(aLinks.size());
+  for (auto link = aLinks.begin(); link != cut; ++link) {
+    const auto equals = link->find('=');
+    listeners.emplace_back([address = link->substr(0, equals), target = link->substr(equals + 1)] {
+      Serve(address, [address, target](int aFd) { Relay(aFd, address, target); });
+    });
+  }
+  for (auto& listener : listeners) {
+    listener.join();
+  }
+  return 0;
+}
+
 /// An instance: refuses requests for another one with 421, drops a request when its connection
 /// closes, stops at the time limit with 504.
 class Instance
@@ -674,6 +775,9 @@
   if (role == "store") {
     return RunStore(rest);
   }
+  if (role == "relay") {
+    return RunRelay(rest);
+  }
   if (role == "put") {
     const auto answer =
       Call(rest.at(0), "PUT " + rest.at(1), rest.size() > 2 ? rest.at(2) : std::string());
