--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -7,6 +7,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -152,6 +153,13 @@
   auto operator<=>(const TakeoverConfirmation&) const = default;
 };
 
+/// \brief Confirms messages of the receiver, if no other message does: the envelope has the
+/// confirmation.
+struct LinkAck
+{
+  auto operator<=>(const LinkAck&) const = default;
+};
+
 /// \brief Every message that nodes exchange.
 using Payload = std::variant<CallRequest,
                              CallReply,
@@ -162,7 +170,19 @@
                              LeaseRequest,
                              LeaseGrant,
                              TakeoverRequest,
-                             TakeoverConfirmation>;
+                             TakeoverConfirmation,
+                             LinkAck>;
+
+/// \brief State of the link between two nodes as the sender of a message has recorded it.
+struct LinkHeader
+{
+  /// Reading of the receiver's clock in its latest message that arrived; 0: none did.
+  const Duration confirmed_{};
+  /// Connections to the receiver that the sender replaced because they were silent.
+  const std::uint32_t replacements_ = 0;
+
+  auto operator<=>(const LinkHeader&) const = default;
+};
 
 /// \brief A message with its sender and the version that the sender runs.
 struct Envelope
@@ -171,15 +191,18 @@
   const std::uint64_t senderIncarnation_ = 0;
   const std::uint64_t receiverIncarnation_ = 0; ///< 0 if unknown to the sender
   const VersionId senderVersion_;
-  const Duration sentAt_{}; ///< reading of the sender's clock; 0: unknown
+  const Duration sentAt_{};              ///< reading of the sender's clock; 0: unknown
+  const std::optional<LinkHeader> link_; ///< nothing: the sender is of an earlier release
   const Payload payload_;
 };
 
-/// \brief Sends messages to peers; delivery and its order are not guaranteed.
+/// \brief Sends messages to peers; delivery and its order are not guaranteed. Reconnect replaces
+/// the connection to a peer.
 template<class T>
 concept PeerTransport = requires(T& aTransport, const NodeAddress& aPeer, const Envelope& aMessage)
 {
   aTransport.Send(aPeer, aMessage);
+  aTransport.Reconnect(aPeer);
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -80,6 +80,9 @@
     if (aEnvelope.sender_ != context_.Self()) {
       excessDelay_ = linkDelay_.OnMessage(
         aEnvelope.sender_, aEnvelope.senderIncarnation_, aEnvelope.sentAt_, context_.Now());
+      if (context_.Links().OnMessage(aEnvelope, context_.Now())) {
+        context_.ReplaceConnection(aEnvelope.sender_);
+      }
       gossip_.OnEnvelope(aEnvelope);
       config_.OnAnnouncedVersion(aEnvelope);
     }
@@ -116,6 +119,7 @@
     entry_.OnTimer();
     owner_.OnTimer();
     DeliverLocalMessages();
+    MaintainLinks();
   }
 
   /// \brief Records the end of a turn of the event loop. Its duration counts from its first event.
@@ -136,7 +140,8 @@
   /// \brief The time at which OnTimer must be called at the latest.
   [[nodiscard]] TimePoint NextDeadline() const
   {
-    auto next = std::min(gossip_.NextDeadline(), reader_.NextDeadline());
+    auto next =
+      std::min({ gossip_.NextDeadline(), reader_.NextDeadline(), context_.Links().NextDeadline() });
     for (const auto& time : { config_.NextDeadline(),
                               limits_.NextDeadline(),
                               entry_.NextDeadline(),
@@ -288,6 +293,28 @@
   {
     limits_.OnTakeoverConfirmation(aEnvelope, aPayload);
   }
+  void Handle(const Envelope& /*aEnvelope*/, const LinkAck& /*aPayload*/) {}
+
+  /// Replaces the connections of silent links, and sends what checks and confirms others.
+  void MaintainLinks()
+  {
+    const auto due = context_.Links().TakeDue(context_.Now());
+    for (const auto& silent : due.silent_) {
+      context_.Write(LogEvent("link_silent", Severity::Warning)
+                       .With("node", silent.peer_.Text())
+                       .With("waited_ms", Milliseconds(silent.waited_)));
+      context_.ReplaceConnection(silent.peer_);
+      if (silent.isAnnounced_) {
+        context_.Send(silent.peer_, Heartbeat{});
+      }
+    }
+    for (const auto& peer : due.unchecked_) {
+      context_.Send(peer, Heartbeat{});
+    }
+    for (const auto& peer : due.unconfirmed_) {
+      context_.Send(peer, LinkAck{});
+    }
+  }
 
   void OnTurnEvent()
   {
--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/link_monitor.hpp"
 #include "geraniumpin/process/membership.hpp"
 #include "geraniumpin/process/node_ports.hpp"
 #include "geraniumpin/process/placement_hash.hpp"
@@ -35,6 +36,8 @@
   [[nodiscard]] const VersionStore& Versions() const noexcept { return versions_; }
   [[nodiscard]] Membership& GetMembership() noexcept { return membership_; }
   [[nodiscard]] const Membership& GetMembership() const noexcept { return membership_; }
+  [[nodiscard]] LinkMonitor& Links() noexcept { return links_; }
+  [[nodiscard]] const LinkMonitor& Links() const noexcept { return links_; }
   [[nodiscard]] Metrics& GetMetrics() noexcept { return metrics_; }
   [[nodiscard]] const Metrics& GetMetrics() const noexcept { return metrics_; }
 
@@ -43,11 +46,15 @@
   /// A message to the node itself is queued for PopLocalMessage.
   void Send(const NodeAddress& aPeer, const Payload& aPayload)
   {
+    const auto now = Now();
     Envelope envelope{ .sender_ = Self(),
                        .senderIncarnation_ = incarnation_,
                        .receiverIncarnation_ = membership_.FindIncarnation(aPeer),
                        .senderVersion_ = versions_.CurrentId(),
-                       .sentAt_ = Now().time_since_epoch(),
+                       .sentAt_ = now.time_since_epoch(),
+                       .link_ = aPeer == Self()
+                                  ? std::nullopt
+                                  : std::optional(links_.OnSend(aPeer, aPayload, now)),
                        .payload_ = aPayload };
     if (aPeer == Self()) {
       localMessages_.push_back(std::move(envelope));
@@ -56,6 +63,13 @@
     }
   }
 
+  /// \brief Replaces the connection to a peer.
+  void ReplaceConnection(const NodeAddress& aPeer)
+  {
+    metrics_.Count("links_replaced");
+    ports_.transport_.Reconnect(aPeer);
+  }
+
   /// \brief Lists the nodes of the own failure domain that accept work, this one included.
   /// \returns An empty list before the first version.
   [[nodiscard]] std::vector<NodeAddress> AvailableNodes() const
@@ -106,6 +120,7 @@
   std::uint64_t incarnation_;
   VersionStore versions_;
   Membership membership_;
+  LinkMonitor links_;
   Metrics metrics_;
   std::deque<Envelope> localMessages_;
 };
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -341,6 +341,22 @@
   return TakeoverConfirmation{ aFrom.number(), std::move(removedNodes) };
 }
 
+void
+Write(const LinkAck& /*aFrom*/, wire::Envelope& aEnvelope)
+{
+  aEnvelope.mutable_link_ack();
+}
+
+std::optional<LinkHeader>
+ReadLink(const wire::Envelope& aFrom)
+{
+  if (!aFrom.has_link()) {
+    return std::nullopt;
+  }
+  return LinkHeader{ .confirmed_ = FromMicroseconds(aFrom.link().confirmed_us()),
+                     .replacements_ = aFrom.link().replacements() };
+}
+
 std::optional<Payload>
 ReadPayload(const wire::Envelope& aFrom)
 {
@@ -365,6 +381,8 @@
       return TakeoverRequest{ aFrom.home_claim().number() };
     case wire::Envelope::kHomeConfirm:
       return Read(aFrom.home_confirm());
+    case wire::Envelope::kLinkAck:
+      return LinkAck{};
     case wire::Envelope::PAYLOAD_NOT_SET:
       break;
   }
@@ -383,6 +401,11 @@
   message.set_receiver_incarnation(aEnvelope.receiverIncarnation_);
   impl::Write(aEnvelope.senderVersion_, *message.mutable_announced());
   message.set_sent_at_us(Microseconds(aEnvelope.sentAt_));
+  if (aEnvelope.link_) {
+    auto& link = *message.mutable_link();
+    link.set_confirmed_us(Microseconds(aEnvelope.link_->confirmed_));
+    link.set_replacements(aEnvelope.link_->replacements_);
+  }
   std::visit([&](const auto& aPayload) { impl::Write(aPayload, message); }, aEnvelope.payload_);
   return message.SerializeAsString();
 }
@@ -404,6 +427,7 @@
                    .receiverIncarnation_ = message.receiver_incarnation(),
                    .senderVersion_ = impl::Read(message.announced()),
                    .sentAt_ = impl::FromMicroseconds(message.sent_at_us()),
+                   .link_ = impl::ReadLink(message),
                    .payload_ = std::move(*payload) };
 }
 
--- a/src/adapters/connection/peer_transport.cpp
+++ b/src/adapters/connection/peer_transport.cpp
@@ -165,6 +165,9 @@
     counters_.sentBytes_ += bytes.size() + tag.size();
   }
 
+  /// The socket still sends what it holds, for kLingerMs at most.
+  void Reconnect(const NodeAddress& aPeer) { links_.erase(aPeer); }
+
   Link& FindOrOpenLink(const NodeAddress& aPeer)
   {
     const auto found = links_.find(aPeer);
@@ -228,6 +231,12 @@
   impl_->Send(aPeer, aMessage);
 }
 
+void
+ZmqPeerTransport::Reconnect(const NodeAddress& aPeer)
+{
+  impl_->Reconnect(aPeer);
+}
+
 const TransportCounters&
 ZmqPeerTransport::Counters() const noexcept
 {
--- a/src/adapters/connection/peer_transport.hpp
+++ b/src/adapters/connection/peer_transport.hpp
@@ -46,6 +46,9 @@
   /// \brief Queues a message to a peer; drops and counts it if the queue is full.
   void Send(const NodeAddress& aPeer, const Envelope& aMessage);
 
+  /// \brief Closes the connection to a peer; the next message opens another one.
+  void Reconnect(const NodeAddress& aPeer);
+
   [[nodiscard]] const TransportCounters& Counters() const noexcept;
 
 private:
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -49,7 +49,8 @@
            LeaseRequest{ "t", 1, 2, { { 3, 4 } } },
            LeaseGrant{ "t", 1, 2, milliseconds(3), milliseconds(4) },
            TakeoverRequest{ 1 },
-           TakeoverConfirmation{ 2, { NodeAt(1, 3) } } };
+           TakeoverConfirmation{ 2, { NodeAt(1, 3) } },
+           LinkAck{} };
 }
 
 } // namespace
@@ -68,6 +69,22 @@
   }
 }
 
+// Nodes of two releases run side by side while a new one is deployed.
+BOOST_AUTO_TEST_CASE(a_link_header_is_read_back_and_may_be_absent)
+{
+  const LinkHeader header{ .confirmed_ = milliseconds(1234), .replacements_ = 5 };
+  const Envelope message{ .sender_ = NodeAt(1, 1),
+                          .senderIncarnation_ = 5,
+                          .receiverIncarnation_ = 6,
+                          .senderVersion_ = {},
+                          .link_ = header,
+                          .payload_ = LinkAck{} };
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(message));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((decoded->link_ == header));
+  BOOST_TEST(!DecodeEnvelope(EncodeEnvelope(Wrap(LinkAck{})))->link_);
+}
+
 BOOST_AUTO_TEST_CASE(damaged_messages_are_refused_or_read_without_harm)
 {
   std::mt19937_64 random(1);
--- a/tests/connection/peer_transport_test.cpp
+++ b/tests/connection/peer_transport_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/test/included/unit_test.hpp>
+#include <set>
 #include <thread>
 #include <vector>
 #include <zmq.hpp>
@@ -117,6 +118,38 @@
   BOOST_TEST(delivered_.size() == 1U);
 }
 
+// A replaced connection must deliver what it can, and the next message must use another one.
+BOOST_FIXTURE_TEST_CASE(a_replaced_connection_still_sends_what_it_holds, Fixture)
+{
+  zmq::socket_t receiver(context_, zmq::socket_type::pull);
+  receiver.bind("tcp://127.0.0.1:*");
+  receiver.set(zmq::sockopt::rcvtimeo, 2000);
+  const auto endpoint = receiver.get(zmq::sockopt::last_endpoint);
+  const auto peer = Address(endpoint.substr(std::string("tcp://").size()));
+  constexpr std::uint64_t kMessages = 20;
+  for (std::uint64_t i = 0; i < kMessages; ++i) {
+    transport_.Send(peer,
+                    { .sender_ = self_,
+                      .senderIncarnation_ = 1,
+                      .receiverIncarnation_ = 0,
+                      .senderVersion_ = {},
+                      .payload_ = CallCancel{ { 1, i }, 1 } });
+    transport_.Reconnect(peer);
+  }
+  std::set<std::uint64_t> received;
+  for (std::uint64_t i = 0; i < kMessages; ++i) {
+    zmq::message_t body;
+    zmq::message_t tag;
+    BOOST_REQUIRE(receiver.recv(body).has_value());
+    BOOST_REQUIRE(receiver.recv(tag).has_value());
+    const auto message = DecodeEnvelope(body.to_string_view());
+    BOOST_REQUIRE(message);
+    received.insert(std::get<CallCancel>(message->payload_).id_.sequence_);
+  }
+  BOOST_TEST(received.size() == kMessages);
+  BOOST_TEST(transport_.Counters().droppedMessages_ == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_oversized_message_closes_the_link_and_the_next_one_arrives, Fixture)
 {
   SendParts({ std::string(2 * kMaxMessageBytes, 'x'), "tag" });
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -470,7 +470,11 @@
   }
   const auto id = mesh.runs_.rbegin()->first;
   mesh.serviceTime_ = std::chrono::seconds(10);
-  while (mesh.At(entry).Status().ownedAttempts_ == 0) {
+  const auto isFull = [&] {
+    const auto& status = mesh.At(entry).Status();
+    return static_cast<double>(status.ownedAttempts_ + 1) > status.concurrencyLimit_;
+  };
+  while (!isFull()) {
     mesh.Call(entry, "", "GET", "/public/x");
     mesh.Run(milliseconds(2));
   }
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -47,6 +47,7 @@
 struct FakePorts
 {
   void Send(const NodeAddress& aPeer, const Envelope& aMessage);
+  void Reconnect(const NodeAddress& aPeer);
   void Start(const BackendRequest& aRequest);
   void Cancel(const AttemptId& aId);
   void Reply(const CallId& aId, const Answer& aAnswer);
@@ -117,6 +118,7 @@
   /// \brief Starts a node, or restarts it with a new incarnation.
   void Start(const NodeAddress& aNode, const std::string& aDomain)
   {
+    ForgetConnections(aNode);
     auto& fake = nodes_[aNode];
     if (fake) {
       stoppedNodes_.push_back(std::move(fake)); // pending events refer to its ports
@@ -150,9 +152,25 @@
   }
   void Kill(const NodeAddress& aNode)
   {
+    ForgetConnections(aNode);
     stoppedNodes_.push_back(std::move(nodes_.at(aNode)));
     nodes_.erase(aNode);
   }
+  /// \brief Makes open connections between nodes silent: without an error, nothing that is sent on
+  /// them arrives any more. New connections work.
+  /// \param aIsAffected Whether the connection on which the first node sends to the second one is
+  /// affected.
+  void SilenceConnections(
+    const std::function<bool(const NodeAddress&, const NodeAddress&)>& aIsAffected)
+  {
+    for (const auto& connection : openConnections_) {
+      if (aIsAffected(connection.first, connection.second)) {
+        silentConnections_.insert(connection);
+      }
+    }
+  }
+  [[nodiscard]] std::size_t CountSilentConnections() const { return silentConnections_.size(); }
+  [[nodiscard]] std::size_t CountConnections() const { return openConnections_.size(); }
   void Pause(const NodeAddress& aNode) { nodes_.at(aNode)->paused_ = true; }
   /// \brief Resumes a paused node: deferred events are delivered before its timers run.
   void Resume(const NodeAddress& aNode)
@@ -284,6 +302,15 @@
     }
   }
 
+  void ForgetConnections(const NodeAddress& aNode)
+  {
+    const auto isOfNode = [&](const auto& aConnection) {
+      return aConnection.first == aNode || aConnection.second == aNode;
+    };
+    std::erase_if(openConnections_, isOfNode);
+    std::erase_if(silentConnections_, isOfNode);
+  }
+
   /// Delivers an event to a running node, or defers it while the node is paused.
   void Deliver(const NodeAddress& aNode, const std::function<void()>& aAction)
   {
@@ -317,13 +344,15 @@
   void Transmit(const NodeAddress& aFrom, const NodeAddress& aTo, const Envelope& aMessage)
   {
     ++sentCount_;
+    openConnections_.emplace(aFrom, aTo);
     if (recordSent_) {
       sent_.emplace_back(clock_.Now(), aMessage);
     }
     const int copies = 1 + (DrawFraction(random_) < faults_.duplicationProbability_ ? 1 : 0);
     for (int copy = 0; copy < copies; ++copy) {
       if (DrawFraction(random_) < faults_.lossProbability_ ||
-          (isPartitioned_ && isPartitioned_(aFrom, aTo))) {
+          (isPartitioned_ && isPartitioned_(aFrom, aTo)) ||
+          silentConnections_.contains({ aFrom, aTo })) {
         continue;
       }
       At(DrawDelay(), [this, aTo, aMessage] {
@@ -348,6 +377,9 @@
   std::map<NodeAddress, std::unique_ptr<FakeNode>> nodes_;
   std::vector<std::unique_ptr<FakeNode>> stoppedNodes_;
   std::map<NodeAddress, std::vector<std::function<void()>>> deferredEvents_;
+  /// The sender and the receiver of each connection.
+  std::set<std::pair<NodeAddress, NodeAddress>> openConnections_;
+  std::set<std::pair<NodeAddress, NodeAddress>> silentConnections_;
   std::priority_queue<Event> events_;
   std::uint64_t sequence_ = 0;
   std::uint64_t incarnations_ = 0;
@@ -366,6 +398,13 @@
   mesh_.Transmit(self_, aPeer, aMessage);
 }
 
+inline void
+FakePorts::Reconnect(const NodeAddress& aPeer)
+{
+  mesh_.openConnections_.erase({ self_, aPeer });
+  mesh_.silentConnections_.erase({ self_, aPeer });
+}
+
 inline void
 FakePorts::Start(const BackendRequest& aRequest)
 {
