Close idle connections to a backend server once one of them was silent

Change: an exchange that is cancelled after 200 ms or more without any byte of its response closes the idle connections of that server that were last read before it began. Those that answered meanwhile stay.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t kMaxDiscardedResponses = 16;
 // A connection is no longer reused this long before the server's keep-alive timeout.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 1000 };
+// Time without any byte of a response after which a cancelled exchange has shown that its
+// connection may be silent.
+constexpr std::chrono::milliseconds kMinSilence{ 200 };
 // Unacknowledged bytes end a connection after this time, so that a dead link is detected.
 constexpr unsigned kTcpUserTimeoutMs = 3000;
 
@@ -80,6 +83,7 @@
   struct Exchange
   {
     ClientExchangeId id_ = 0;
+    TimePoint startedAt_;
     bool isHead_ = false;
     EchoedHeader echoedHeader_;
     Callback done_;
@@ -109,6 +113,7 @@
     std::optional<Exchange> exchange_;
     std::optional<Parser> parser_;
     std::size_t parsedBytes_ = 0; ///< of the current response
+    TimePoint readAt_;            ///< last bytes
     TimePoint idleUntil_;
     WriteTimer writeTimer_; ///< runs while a request body is written after its response
   };
@@ -139,7 +144,7 @@
     connection->head_ = impl::EncodeHead(aServer, aRequest);
     connection->body_ = aRequest.body_;
     connection->exchange_ =
-      Exchange{ id, aRequest.method_ == "HEAD", aEchoedHeader, std::move(aDone) };
+      Exchange{ id, clock_.Now(), aRequest.method_ == "HEAD", aEchoedHeader, std::move(aDone) };
     byExchange_.emplace(id, connection);
     ResetParser(*connection);
     if (connection->socket_ == nullptr) {
@@ -159,8 +164,15 @@
     }
     auto* connection = found->second;
     byExchange_.erase(found);
+    const auto server = connection->server_;
+    const auto startedAt = connection->exchange_->startedAt_;
+    const bool wasSilent =
+      connection->readAt_ < startedAt && clock_.Now() - startedAt >= impl::kMinSilence;
     connection->exchange_.reset();
     Close(connection);
+    if (wasSilent) {
+      CloseIdleConnections(server, startedAt);
+    }
   }
 
 private:
@@ -190,6 +202,18 @@
     }
   }
 
+  /// Closes the idle connections on which nothing arrived since a time. For the fault that all
+  /// connections of a server become silent: each of them would take a request until its deadline.
+  void CloseIdleConnections(const NodeAddress& aServer, TimePoint aReadBefore)
+  {
+    const auto idle = idle_[aServer];
+    for (auto* connection : idle) {
+      if (connection->readAt_ < aReadBefore) {
+        Close(connection);
+      }
+    }
+  }
+
   Connection* TakeIdleConnection(const NodeAddress& aServer)
   {
     const auto now = clock_.Now();
@@ -284,6 +308,7 @@
       owner->OnStreamEnd(connection, aError == h2o_socket_error_closed);
       return;
     }
+    connection->readAt_ = owner->clock_.Now();
     if (!connection->exchange_) {
       owner->Close(connection); // bytes without a pending request
       return;
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "../../src/adapters/connection/http_client.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
 #include "../support/scripted_server.hpp"
+#include "../support/silenced_server.hpp"
 
 #include <boost/test/included/unit_test.hpp>
 
@@ -214,6 +215,87 @@
   }
 }
 
+// Guards against silent connections to a backend server that are noticed one by one: each idle one
+// took a request until its deadline.
+BOOST_AUTO_TEST_CASE(silent_connections_cost_one_request_whatever_their_number)
+{
+  for (const int connections : { 1, 2, 6, 40 }) {
+    BOOST_TEST_CONTEXT(connections << " connections")
+    {
+      SystemClock clock;
+      EventLoop loop;
+      SilencedServer server;
+      HttpClient client{ loop, { milliseconds(4000), 1U << 20U } };
+      int answered = 0;
+      const auto start = [&] {
+        return client.Start(
+          server.Address(),
+          { .method_ = "GET", .host_ = "h", .path_ = "/", .headers_ = {}, .body_ = {} },
+          {},
+          [&](const HttpResult& aResult) {
+            answered += aResult.outcome_ == HttpOutcome::Complete ? 1 : 0;
+          });
+      };
+      const auto run = [&](milliseconds aTime) {
+        const auto end = clock.Now() + aTime;
+        while (clock.Now() < end) {
+          loop.RunOnce(clock.Now() + milliseconds(1));
+          server.Answer();
+        }
+      };
+      for (int i = 0; i < connections; ++i) {
+        (void)start();
+      }
+      run(milliseconds(100));
+      BOOST_REQUIRE(answered == connections);
+      BOOST_REQUIRE(server.AcceptedCount() == connections);
+      server.SilenceConnections();
+      const auto lost = start();
+      run(milliseconds(300)); // its deadline
+      client.Cancel(lost);
+      BOOST_TEST(answered == connections);
+      for (int i = 0; i < connections; ++i) {
+        (void)start();
+      }
+      run(milliseconds(100));
+      BOOST_TEST(answered == 2 * connections);
+    }
+  }
+}
+
+// An instance that is slow with one request keeps its connections that have answered meanwhile.
+BOOST_AUTO_TEST_CASE(a_cancelled_exchange_leaves_connections_that_answered_meanwhile)
+{
+  SystemClock clock;
+  EventLoop loop;
+  SilencedServer server;
+  HttpClient client{ loop, { milliseconds(4000), 1U << 20U } };
+  const HttpRequest request{
+    .method_ = "GET", .host_ = "h", .path_ = "/", .headers_ = {}, .body_ = {}
+  };
+  int answered = 0;
+  const auto count = [&](const HttpResult&) { ++answered; };
+  const auto run = [&](milliseconds aTime) {
+    const auto end = clock.Now() + aTime;
+    while (clock.Now() < end) {
+      loop.RunOnce(clock.Now() + milliseconds(1));
+      server.Answer();
+    }
+  };
+  const auto slow = client.Start(server.Address(), request, {}, count);
+  loop.RunOnce(clock.Now() + milliseconds(20));
+  server.AcceptWithoutAnswer();
+  run(milliseconds(300));
+  (void)client.Start(server.Address(), request, {}, count);
+  run(milliseconds(50));
+  BOOST_TEST(answered == 1);
+  client.Cancel(slow);
+  (void)client.Start(server.Address(), request, {}, count);
+  run(milliseconds(50));
+  BOOST_TEST(answered == 2);
+  BOOST_TEST(server.AcceptedCount() == 2);
+}
+
 // A refusal of an earlier request that is written once more belongs to no later request.
 BOOST_FIXTURE_TEST_CASE(a_repeated_refusal_of_an_earlier_request_is_dropped, Fixture)
 {
