--- a/src/adapters/connection/pipelined_connections.cpp
+++ b/src/adapters/connection/pipelined_connections.cpp
@@ -110,6 +110,7 @@
     h2o_socket_t* socket_;
     RequestPipeline<HeldResponse> pipeline_;
     std::optional<Parser> parser_;
+    std::size_t headerBytes_ = 0; ///< received bytes that the parser has read as a header
     bool isFirstRequest_ = true;
     bool isReading_ = false;
     bool isAdvancing_ = false;
@@ -248,27 +249,48 @@
         aConnection.needsContinue_ = false;
         Write(aConnection, { { std::string(impl::kContinue), {} } });
       }
-      if (input->size == 0 || !Parse(aConnection)) {
+      if (input->size == 0 || !ParseBody(aConnection)) {
         return aConnection.hasStopped_;
       }
     }
     return false;
   }
 
-  /// Parses the start line and header of the next request.
+  /// Parses the start line and header of the next request. Their bytes stay in the input until they
+  /// are complete, so that h2o gets them all if HTTP/2 begins.
   /// \returns True if they are complete and valid.
   bool ParseHeader(Connection& aConnection)
   {
     auto& input = aConnection.socket_->input;
-    while (input->size >= 2 && input->bytes[0] == '\r' && input->bytes[1] == '\n') {
-      h2o_buffer_consume(&input, 2); // an empty line before a request has no meaning
+    if (aConnection.headerBytes_ == 0 && !SkipEmptyLines(input)) {
+      return false;
+    }
+    if (aConnection.isFirstRequest_ && MayBeginHttp2(aConnection)) {
+      return false;
     }
-    if (input->size == 0 || (aConnection.isFirstRequest_ && MayBeginHttp2(aConnection))) {
+    boost::system::error_code error;
+    aConnection.headerBytes_ +=
+      aConnection.parser_->put(boost::asio::buffer(input->bytes + aConnection.headerBytes_,
+                                                   input->size - aConnection.headerBytes_),
+                               error);
+    const bool isDone = aConnection.parser_->is_header_done();
+    // Beast applies its limit to the bytes of one call.
+    const auto headerBytes = isDone ? aConnection.headerBytes_ : input->size;
+    if (!HasFailed(error) && headerBytes > impl::kMaxRequestHeaderBytes) {
+      error = impl::http::error::header_limit;
+    }
+    if (HasFailed(error)) {
+      RefuseAndStop(aConnection, impl::ToRefusalStatus(error));
       return false;
     }
-    if (!Parse(aConnection) || !aConnection.parser_->is_header_done()) {
+    if (!isDone) {
       return false;
     }
+    if (aConnection.isFirstRequest_ && RequestsHttp2(aConnection)) {
+      PassToHttp2(aConnection); // with all bytes, this header included
+      return false;
+    }
+    h2o_buffer_consume(&input, aConnection.headerBytes_);
     const auto& request = aConnection.parser_->get();
     const auto hosts = request.count(impl::http::field::host);
     if (hosts > 1 || (hosts == 0 && request.version() >= 11)) {
@@ -280,21 +302,33 @@
     return true;
   }
 
-  /// Passes received bytes to the parser.
+  /// Drops empty lines, which have no meaning before a request. Within a request the same bytes end
+  /// its header.
+  /// \returns True if a request begins.
+  static bool SkipEmptyLines(h2o_buffer_t*& aInput)
+  {
+    while (aInput->size >= 2 && aInput->bytes[0] == '\r' && aInput->bytes[1] == '\n') {
+      h2o_buffer_consume(&aInput, 2);
+    }
+    const std::string_view received(aInput->bytes, aInput->size);
+    return !received.empty() && received != "\r";
+  }
+
+  static bool HasFailed(const boost::system::error_code& aError)
+  {
+    return aError && aError != impl::http::error::need_more;
+  }
+
+  /// Passes received bytes of a body to the parser.
   /// \returns True if bytes were parsed and the request is valid so far.
-  bool Parse(Connection& aConnection)
+  bool ParseBody(Connection& aConnection)
   {
     auto& input = aConnection.socket_->input;
     boost::system::error_code error;
     const auto used =
       aConnection.parser_->put(boost::asio::buffer(input->bytes, input->size), error);
-    if (aConnection.isFirstRequest_ && aConnection.parser_->is_header_done() &&
-        RequestsHttp2(aConnection)) {
-      PassToHttp2(aConnection); // with all bytes, this header included
-      return false;
-    }
     h2o_buffer_consume(&input, used);
-    if (error && error != impl::http::error::need_more) {
+    if (HasFailed(error)) {
       RefuseAndStop(aConnection, impl::ToRefusalStatus(error));
       return false;
     }
@@ -520,6 +554,7 @@
     aConnection.parser_->eager(false);
     aConnection.parser_->header_limit(impl::kMaxRequestHeaderBytes);
     aConnection.parser_->body_limit(limits_.maxBodyBytes_);
+    aConnection.headerBytes_ = 0;
     aConnection.needsContinue_ = false;
   }
 
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE http_client
 #include "../../src/adapters/connection/http_client.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
+#include "../support/http_splits.hpp"
 #include "../support/scripted_server.hpp"
 #include "../support/silenced_server.hpp"
 
@@ -215,6 +216,61 @@
   }
 }
 
+// Guards against a response that is read differently if its bytes arrive in other segments.
+BOOST_FIXTURE_TEST_CASE(a_response_is_the_same_however_its_bytes_are_split, Fixture)
+{
+  struct Sample
+  {
+    std::string text_;
+    int status_;
+    std::string body_;
+    bool endsConnection_ = false;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\nid: a\r\n";
+  const std::string chunked = ok + "transfer-encoding: chunked\r\n\r\n";
+  const std::vector<Sample> samples{
+    { ok + "content-length: 4\r\n\r\nbody", 200, "body" },
+    { ok + "content-length: 0\r\n\r\n", 200, "" },
+    { ok + "content-length: 6\r\n\r\n\r\n\r\nab", 200, "\r\n\r\nab" },
+    { "HTTP/1.1 204 No Content\r\nid: a\r\n\r\n", 204, "" },
+    { chunked + "3\r\nabc\r\n0a\r\n0123456789\r\n0\r\n\r\n", 200, "abc0123456789" },
+    { chunked + "2;x=y\r\n\r\n\r\n0\r\nt: 1\r\n\r\n", 200, "\r\n" },
+    { chunked + "0\r\n\r\n", 200, "" },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" +
+        AnswerTo("a", "b"),
+      200,
+      "b" },
+    { AnswerTo("z", "not yours") + AnswerTo("a", "yours"), 200, "yours" },
+    { ok + "connection: close\r\n\r\nsome bytes", 200, "some bytes", true },
+    { ok + "connection: close\r\n\r\n", 200, "", true },
+    { "HTTP/1.0 200 OK\r\nid: a\r\n\r\nsome bytes", 200, "some bytes", true },
+  };
+  for (const auto& sample : samples) {
+    for (const auto& segments : SplitEverywhere(sample.text_)) {
+      BOOST_TEST_CONTEXT("segments " << JoinSegments(segments))
+      {
+        const auto result = Send("a");
+        for (const auto& segment : segments) {
+          BOOST_TEST(!result->has_value());
+          server_.Write(segment);
+          loop_.RunOnce(clock_.Now() + milliseconds(1));
+        }
+        if (sample.endsConnection_) {
+          server_.CloseConnection();
+        }
+        for (int i = 0; i < 100 && !result->has_value(); ++i) {
+          loop_.RunOnce(clock_.Now() + milliseconds(1));
+        }
+        BOOST_REQUIRE(result->has_value());
+        BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+        BOOST_TEST((*result)->response_.status_ == sample.status_);
+        const auto& body = (*result)->response_.body_;
+        BOOST_TEST((body ? *body : std::string()) == sample.body_);
+      }
+    }
+  }
+}
+
 // Guards against silent connections to a backend server that are noticed one by one: each idle one
 // took a request until its deadline.
 BOOST_AUTO_TEST_CASE(silent_connections_cost_one_request_whatever_their_number)
--- a/tests/connection/pipelined_connections_test.cpp
+++ b/tests/connection/pipelined_connections_test.cpp
@@ -279,6 +279,35 @@
   BOOST_TEST(requests_[2].second.host_ == "shop.example");
 }
 
+// Several empty lines, chunk extensions, a wait for a go-ahead and requests behind each other,
+// which h2o's own connections do not all read.
+BOOST_FIXTURE_TEST_CASE(requests_behind_each_other_are_the_same_however_they_are_split, Fixture)
+{
+  const std::string host = " HTTP/1.1\r\nhost: shop.example\r\n";
+  const auto text = "\r\n\r\n\r\n" + Get("/1") + "\r\n\r\nPOST /2" + host +
+                    "expect: 100-continue\r\ntransfer-encoding: chunked\r\n\r\n"
+                    "3;a=b;c=\"d\"\r\nabc\r\n2\r\nde\r\n0\r\nt: 1\r\nu: 2\r\n\r\n\r\n" +
+                    Post("/3", "\r\n") + Get("/4");
+  const std::vector<std::string> bodies{ "", "abcde", "\r\n", "" };
+  for (const auto& segments : SplitEverywhere(text)) {
+    BOOST_TEST_CONTEXT("segments " << JoinSegments(segments))
+    {
+      ScriptedClient client(address_);
+      const auto first = requests_.size();
+      WriteSegments(client, segments);
+      for (std::size_t i = 0; i < bodies.size(); ++i) {
+        AwaitRequests(first + i + 1);
+        const auto& request = requests_[first + i].second;
+        BOOST_TEST(request.path_ == "/" + std::to_string(i + 1));
+        BOOST_TEST((request.body_ ? *request.body_ : std::string()) == bodies[i]);
+        Respond(first + i, "");
+        RunLoop(milliseconds(1));
+      }
+      BOOST_TEST(requests_.size() == first + bodies.size());
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_client_that_waits_for_a_go_ahead_gets_it, Fixture)
 {
   ScriptedClient client(address_);
@@ -370,6 +399,54 @@
   }
 }
 
+// Limits that depend on what is read at once admitted or refused the same bytes.
+BOOST_FIXTURE_TEST_CASE(limits_hold_however_the_bytes_are_split, Fixture)
+{
+  const std::string host = "POST /x HTTP/1.1\r\nhost: shop.example\r\n";
+  const std::string wideField = "a: " + std::string(60U << 10U, 'x') + "\r\n";
+  const std::string body(2U << 20U, 'x');
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { host + wideField + wideField + "\r\n", "431" },
+    { host + "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body, "413" },
+    { host + "transfer-encoding: chunked\r\n\r\n200000\r\n" + body, "413" },
+  };
+  for (const auto& [text, status] : cases) {
+    for (const std::size_t segmentBytes : { 1'000U, 4'096U, 65'536U, 1'000'000U }) {
+      ScriptedClient client(address_);
+      std::string response;
+      for (std::size_t at = 0; at < text.size(); at += segmentBytes) {
+        (void)client.TryWrite(std::string_view(text).substr(at, segmentBytes));
+        loop_.RunOnce(clock_.Now() + milliseconds(1));
+        response += client.Read();
+      }
+      RunLoop(milliseconds(5));
+      response += client.Read();
+      BOOST_TEST(response.starts_with("HTTP/1.1 " + status), segmentBytes << " " << response);
+    }
+  }
+  BOOST_TEST(requests_.empty());
+}
+
+// The beginning of HTTP/2 was tested at one split only.
+BOOST_FIXTURE_TEST_CASE(http_2_begins_however_its_bytes_are_split, Fixture)
+{
+  const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings, std::string("\0\0", 2) },
+    { "GET /1 HTTP/1.1\r\nhost: shop.example\r\nconnection: upgrade, http2-settings\r\n"
+      "upgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n",
+      "HTTP/1.1 101" },
+  };
+  for (const auto& [text, begin] : cases) {
+    for (const auto& segments : SplitEverywhere(text)) {
+      ScriptedClient client(address_);
+      WriteSegments(client, segments);
+      RunLoop(milliseconds(3));
+      BOOST_TEST(client.Read().starts_with(begin), JoinSegments(segments));
+    }
+  }
+}
+
 // Guards against callers over HTTP/2 that are lost: by prior knowledge and by upgrade.
 BOOST_FIXTURE_TEST_CASE(http_2_is_still_served, Fixture)
 {
--- a/tests/support/http_server_cases.hpp
+++ b/tests/support/http_server_cases.hpp
@@ -6,6 +6,7 @@
 
 #include "../../src/adapters/connection/http_server.hpp"
 #include "../../src/adapters/process/system_clock.hpp"
+#include "http_splits.hpp"
 #include "scripted_client.hpp"
 
 #include <boost/test/included/unit_test.hpp>
@@ -54,6 +55,15 @@
     }
   }
 
+  /// Sends segments, each of which the server reads on its own.
+  void WriteSegments(ScriptedClient& aClient, const std::vector<std::string>& aSegments)
+  {
+    for (const auto& segment : aSegments) {
+      aClient.Write(segment);
+      loop_.RunOnce(clock_.Now() + milliseconds(1));
+    }
+  }
+
   /// Runs the loop until that many requests have been received in total.
   void AwaitRequests(std::size_t aCount)
   {
@@ -98,6 +108,94 @@
                       kPipelining };
 };
 
+/// A request as text, and the body that it carries.
+struct RequestSample
+{
+  std::string text_;
+  std::string body_;
+};
+
+/// Requests of every kind of head and body, each of which leaves its connection open.
+inline std::vector<RequestSample>
+RequestSamples()
+{
+  const std::string host = " HTTP/1.1\r\nhost: shop.example\r\n";
+  const std::string chunked = "transfer-encoding: chunked\r\n\r\n";
+  return {
+    { "GET /get" + host + "\r\n", "" },
+    { "HEAD /head" + host + "\r\n", "" },
+    { "GET /fields" + host + "a:b\r\nempty:\r\nspaces: \t c d \t\r\n\r\n", "" },
+    { "\r\nGET /after-an-empty-line" + host + "\r\n", "" },
+    { "POST /length" + host + "content-length: 4\r\n\r\nbody", "body" },
+    { "POST /no-bytes" + host + "content-length: 0\r\n\r\n", "" },
+    { "POST /no-length" + host + "\r\n", "" },
+    { "POST /empty-line-in-body" + host + "content-length: 8\r\n\r\n\r\n\r\nbody", "\r\n\r\nbody" },
+    { "POST /request-in-body" + host + "content-length: 18\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\n\r\n" },
+    { "POST /chunks" + host + chunked + "3\r\nabc\r\n0a\r\n0123456789\r\n0\r\n\r\n",
+      "abc0123456789" },
+    { "POST /no-chunks" + host + chunked + "0\r\n\r\n", "" },
+    { "POST /empty-line-in-chunk" + host + chunked + "4\r\n\r\n\r\n\r\n0\r\n\r\n", "\r\n\r\n" },
+    { "POST /trailer" + host + chunked + "2\r\nab\r\n0\r\nt: 1\r\n\r\n", "ab" },
+  };
+}
+
+// Guards against a head or body that is read differently if its bytes arrive in other segments: a
+// request was never answered if the last byte of its head arrived on its own.
+BOOST_FIXTURE_TEST_CASE(a_request_is_the_same_however_its_bytes_are_split, Fixture)
+{
+  for (const auto& sample : RequestSamples()) {
+    ScriptedClient whole(address_);
+    const auto expectedAt = requests_.size();
+    whole.Write(sample.text_);
+    AwaitRequests(expectedAt + 1);
+    Respond(expectedAt, "");
+    const auto expected = requests_[expectedAt].second;
+    BOOST_TEST((expected.body_ ? *expected.body_ : std::string()) == sample.body_, sample.text_);
+    // Twice on each connection: the second request begins where the first one ends.
+    for (const auto& segments : SplitEverywhere(sample.text_)) {
+      BOOST_TEST_CONTEXT("segments " << JoinSegments(segments))
+      {
+        ScriptedClient client(address_);
+        for (int i = 0; i < 2; ++i) {
+          const auto at = requests_.size();
+          WriteSegments(client, segments);
+          AwaitRequests(at + 1);
+          Respond(at, "");
+          const auto& request = requests_[at].second;
+          BOOST_TEST(request.method_ == expected.method_);
+          BOOST_TEST(request.host_ == expected.host_);
+          BOOST_TEST(request.path_ == expected.path_);
+          BOOST_TEST((request.headers_ == expected.headers_));
+          BOOST_TEST((request.body_ ? *request.body_ : std::string()) == sample.body_);
+        }
+      }
+    }
+  }
+}
+
+// A malformed request must be refused at every split, not only if it arrives whole.
+BOOST_FIXTURE_TEST_CASE(a_malformed_request_is_refused_however_its_bytes_are_split, Fixture)
+{
+  for (const std::string text : { "GET /x HTTP/1.1\r\nhost: shop.example\r\nno colon\r\n\r\n",
+                                  "GET  /x HTTP/1.1\r\nhost: shop.example\r\n\r\n",
+                                  "nonsense\r\n\r\n" }) {
+    for (const auto& segments : SplitEverywhere(text)) {
+      ScriptedClient client(address_);
+      std::string response;
+      for (const auto& segment : segments) {
+        (void)client.TryWrite(segment); // the server may have refused the bytes before
+        RunLoop(milliseconds(2));
+        response += client.Read();
+      }
+      RunLoop(milliseconds(2));
+      response += client.Read();
+      BOOST_TEST(response.starts_with("HTTP/1.1 400"), JoinSegments(segments));
+    }
+  }
+  BOOST_TEST(requests_.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_serves_several_requests, Fixture)
 {
   ScriptedClient client(address_);
--- a/tests/support/scripted_client.hpp
+++ b/tests/support/scripted_client.hpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -41,6 +42,8 @@
     address.sin_port = htons(aServer.Port());
     inet_pton(AF_INET, aServer.Ip().c_str(), &address.sin_addr);
     BOOST_REQUIRE(connect(connection_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    const int on = 1; // the segments are those of the writes
+    setsockopt(connection_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     fcntl(connection_, F_SETFL, O_NONBLOCK);
   }
   ~ScriptedClient() { Close(); }
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -52,6 +53,8 @@
     if (fd >= 0) {
       CloseConnection();
       connection_ = fd;
+      const int on = 1; // the segments are those of the writes
+      setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       fcntl(fd, F_SETFL, O_NONBLOCK);
       ++acceptedCount_;
     }
