Compare confirmations in the microseconds that messages carry

Cause, a fault of the monitoring of links, found in reading it again: a message states its time in microseconds, the sender compared the echo with nanoseconds. So the echo of a message seemed earlier than the message, and each link with little traffic was replaced after 0.5 s. A node that was late itself compared with the time at which it noticed. The mocked network passes messages on without encoding them, so no test met the rounding.

Change: both are compared in microseconds, and the time from which the timeout counts is kept apart.

--- a/include/geraniumpin/connection/link_monitor.hpp
+++ b/include/geraniumpin/connection/link_monitor.hpp
@@ -102,7 +102,8 @@
     TimePoint sentAt_;                      ///< last message that expects confirmation
     TimePoint transferredAt_;               ///< long messages have been transferred by then
     TimePoint confirmedAt_;                 ///< a confirmation arrived
-    std::optional<TimePoint> waitingSince_; ///< for a confirmation
+    std::optional<TimePoint> waitingSince_; ///< first message that waits for a confirmation
+    TimePoint timeoutBeganAt_;              ///< of that message
     std::optional<TimePoint> replacedAt_;   ///< and nothing was confirmed since
     std::optional<TimePoint> ackDueAt_;     ///< of a LinkAck to the peer
   };
@@ -116,7 +117,7 @@
   void RemoveUnused(TimePoint aNow);
 
   std::map<NodeAddress, Link> links_;
-  std::set<NodeAddress> pending_; ///< links that wait for a confirmation or owe one
+  std::set<NodeAddress> pending_; ///< links with a confirmation that is awaited or due
   std::vector<NodeAddress> unchecked_;
   std::size_t checksPerStep_ = 0;
   TimePoint nextCheckStepAt_;
--- a/src/connection/link_monitor.cpp
+++ b/src/connection/link_monitor.cpp
@@ -63,9 +63,11 @@
   link.transferredAt_ =
     std::max(link.transferredAt_, aNow) + impl::TransferTime(impl::ContentBytes(aPayload));
   if (link.isMonitored_ && impl::ExpectsConfirmation(aPayload)) {
-    link.sentAt_ = aNow;
+    // Messages carry the time in microseconds.
+    link.sentAt_ = std::chrono::floor<std::chrono::microseconds>(aNow);
     if (!link.waitingSince_) {
-      link.waitingSince_ = aNow;
+      link.waitingSince_ = link.sentAt_;
+      link.timeoutBeganAt_ = aNow;
       link.isPostponed_ = false;
     }
     Schedule(aPeer, SilentAt(link));
@@ -134,11 +136,11 @@
     if (aNow < silentAt) {
       Schedule(peer, silentAt);
     } else if (aNow - silentAt > kMaxLateness && !std::exchange(link.isPostponed_, true)) {
-      link.waitingSince_ = aNow;
+      link.timeoutBeganAt_ = aNow;
       Schedule(peer, SilentAt(link));
     } else {
       silent.push_back({ .peer_ = peer,
-                         .waited_ = aNow - *link.waitingSince_,
+                         .waited_ = aNow - link.timeoutBeganAt_,
                          .isAnnounced_ = link.failedReplacements_ < kMaxAnnouncements });
       link.waitingSince_.reset();
       link.replacedAt_ = aNow;
@@ -167,7 +169,7 @@
 TimePoint
 LinkMonitor::SilentAt(const Link& aLink) noexcept
 {
-  return std::max(*aLink.waitingSince_, aLink.transferredAt_) + SilenceTimeout(aLink);
+  return std::max(aLink.timeoutBeganAt_, aLink.transferredAt_) + SilenceTimeout(aLink);
 }
 
 void
@@ -182,6 +184,7 @@
   aLink.isPostponed_ = false;
   // The messages after the confirmed one were sent by sentAt_ at the latest.
   aLink.waitingSince_ = confirmed < aLink.sentAt_ ? std::optional(aLink.sentAt_) : std::nullopt;
+  aLink.timeoutBeganAt_ = aLink.sentAt_;
   if (const auto replacedAt = std::exchange(aLink.replacedAt_, std::nullopt)) {
     BeginCheck(aNow, *replacedAt);
   }
--- a/tests/connection/link_monitor_test.cpp
+++ b/tests/connection/link_monitor_test.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Two nodes with the messages between them; a lost message is one that is not passed on.
+/// Two nodes with the messages between them, which carry times in microseconds as on the wire; a
+/// lost message is one that is not passed on.
 struct Fixture
 {
   static Envelope Send(LinkMonitor& aLinks,
@@ -24,7 +25,7 @@
              .senderIncarnation_ = 1,
              .receiverIncarnation_ = 0,
              .senderVersion_ = {},
-             .sentAt_ = aNow.time_since_epoch(),
+             .sentAt_ = std::chrono::floor<std::chrono::microseconds>(aNow.time_since_epoch()),
              .link_ = header,
              .payload_ = std::move(aPayload) };
   }
@@ -58,15 +59,15 @@
 
   const NodeAddress a_ = NodeAt(1, 1);
   const NodeAddress b_ = NodeAt(1, 2);
-  TimePoint now_{ std::chrono::hours(1) };
+  TimePoint now_{ std::chrono::hours(1) + std::chrono::nanoseconds(999) };
   LinkMonitor linksOfA_;
   LinkMonitor linksOfB_;
 };
 
 } // namespace
 
-// Guards against links that nobody checks: messages on a connection that became silent got lost for
-// as long as the link was in use.
+// Guards against links without monitoring: messages on a connection that became silent were lost
+// for as long as the link was in use.
 BOOST_FIXTURE_TEST_CASE(a_link_without_confirmation_is_silent, Fixture)
 {
   Meet();
@@ -91,7 +92,7 @@
   BOOST_TEST((linksOfA_.NextDeadline() == TimePoint::max()));
 }
 
-// An idle node must not wake up, and confirmations must not be confirmed without end.
+// An idle node must not wake up, and a confirmation must not cause another one.
 BOOST_FIXTURE_TEST_CASE(an_answer_confirms_and_needs_no_confirmation, Fixture)
 {
   Meet();
@@ -174,6 +175,17 @@
   BOOST_TEST((now_ - resumedAt == LinkMonitor::kSilenceTimeout));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_late_node_accepts_the_confirmation_that_waited_unread, Fixture)
+{
+  Meet();
+  BOOST_TEST(!linksOfB_.OnMessage(SendFromA(), now_));
+  const auto confirmation = SendFromB(LinkAck{});
+  now_ += milliseconds(3000);
+  BOOST_TEST(linksOfA_.TakeDue(now_).silent_.empty());
+  BOOST_TEST(!linksOfA_.OnMessage(confirmation, now_));
+  BOOST_TEST((NextDue(linksOfA_) == LinkActions{}));
+}
+
 // A replaced connection drops what it has not sent, so an upload would end with it.
 BOOST_FIXTURE_TEST_CASE(a_long_message_has_time_for_its_transfer, Fixture)
 {
