scenario_calm_links: loopback addresses of its own

Cause: base 14 is also that of scenario_soak_platform with odd seeds; scenarios run one after the other, so nothing was seen. Change: base 25.

--- a/tests/scenarios/scenario_calm_links.lua
+++ b/tests/scenarios/scenario_calm_links.lua
@@ -2,7 +2,7 @@
 -- the messages once both have been encoded: each link with little traffic was replaced as silent.
 dofile(LIBRARY .. "/mesh.lua")
 
-local mesh = new_mesh{ base = 14, domains = 3, vms = 2 }
+local mesh = new_mesh{ base = 25, domains = 3, vms = 2 }
 mesh:start()
 for round = 1, 10 do
   for _, vm in ipairs(mesh.vms) do
