--- a/src/connection/link_monitor.cpp
+++ b/src/connection/link_monitor.cpp
@@ -1,7 +1,6 @@
 #include "geraniumpin/connection/link_monitor.hpp"
 
 #include <algorithm>
-#include <type_traits>
 #include <utility>
 
 namespace geraniumpin {
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -170,7 +170,6 @@
     }
   }
   [[nodiscard]] std::size_t CountSilentConnections() const { return silentConnections_.size(); }
-  [[nodiscard]] std::size_t CountConnections() const { return openConnections_.size(); }
   void Pause(const NodeAddress& aNode) { nodes_.at(aNode)->paused_ = true; }
   /// \brief Resumes a paused node: deferred events are delivered before its timers run.
   void Resume(const NodeAddress& aNode)
