HttpClient: a reset during an upload does not end a body

Callers saw: an instance answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was being written; the part arrived as a complete answer.

Cause: the kernel reports a reset once. The write of the upload met it first and took the error, and h2o's next read returned 0, which is also the end of a body without length.

Change: at the end of a stream the client asks the kernel whether both directions are closed (POLLHUP). Only a reset or a time-out closes the sending side, which the client never shuts down, and the state stays when its error has been reported. A server that ends its own side only, as with an early answer, leaves the sending side open.

Evidence: http_client_broken_test, a real socket that resets at 22 moments of an upload (none, 100 bytes, 64 KB and 32 MB; nothing, a part or all of it read; response read or not) in 9 states of the response. Whole responses before a reset and bodies that end in order at the same moments are delivered; they were before.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "../process/system_clock.hpp"
 #include "../request/lower_case.hpp"
+#include "stream_state.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -403,7 +404,8 @@
     }
     auto& parser = *aConnection->parser_;
     boost::system::error_code error;
-    if (aOrderly && parser.is_header_done() && parser.need_eof()) {
+    const bool isReset = IsReset(h2o_socket_get_fd(aConnection->socket_));
+    if (aOrderly && !isReset && parser.is_header_done() && parser.need_eof()) {
       parser.put_eof(error);
       if (!error && parser.is_done() && !IsStaleResponse(*aConnection)) {
         Complete(aConnection);
--- a/src/adapters/connection/stream_state.cpp
+++ b/src/adapters/connection/stream_state.cpp
@@ -33,6 +33,15 @@
   return received < 0 && errno == EAGAIN ? StreamState::Empty : StreamState::Closed;
 }
 
+bool
+IsReset(int aFd) noexcept
+{
+  // POLLHUP: both directions are closed. The end of the peer's stream closes one of them.
+  pollfd connection{ .fd = aFd, .events = 0, .revents = 0 };
+  return poll(&connection, 1, 0) > 0 &&
+         (static_cast<unsigned>(connection.revents) & (POLLHUP | POLLERR)) != 0;
+}
+
 void
 DiscardUnread(int aFd) noexcept
 {
--- /dev/null
+++ b/tests/connection/http_client_broken_test.cpp
@@ -0,0 +1,181 @@
+#define BOOST_TEST_MODULE http_client_broken
+#include "../support/http_client_fixture.hpp"
+
+#include <boost/test/included/unit_test.hpp>
+#include <cctype>
+#include <initializer_list>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace geraniumpin;
+using namespace geraniumpin::test;
+
+namespace {
+
+using Fixture = HttpClientFixture;
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nid: a\r\n";
+const std::string kSized = kOk + "content-length: 4\r\n";
+const std::string kChunked = kOk + "transfer-encoding: chunked\r\n\r\n";
+
+std::string
+Join(std::initializer_list<std::string_view> aTexts)
+{
+  std::string joined;
+  for (const auto& text : aTexts) {
+    joined += text;
+  }
+  return joined;
+}
+
+/// The text with its control bytes as hexadecimal escapes, for messages.
+std::string
+Escape(const std::string& aText)
+{
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string escaped;
+  for (const char signedByte : aText) {
+    const auto byte = static_cast<unsigned char>(signedByte);
+    if (std::isprint(byte) != 0) {
+      escaped.push_back(signedByte);
+    } else {
+      escaped += { '\\', 'x', kHex[byte >> 4U], kHex[byte & 15U] };
+    }
+  }
+  return escaped;
+}
+
+/// When a server ends its connection: how much of the request body it has read, and whether the
+/// client has read the response before.
+struct Moment
+{
+  std::size_t requestBytes_ = 0;
+  std::size_t readBytes_ = 0;
+  bool isResponseRead_ = false;
+};
+
+/// Requests that the sockets hold, and requests of which a part is still to be written.
+std::vector<Moment>
+MakeMoments()
+{
+  constexpr std::size_t kMegabyte = 1U << 20U;
+  std::vector<Moment> moments;
+  for (const bool isResponseRead : { false, true }) {
+    for (const std::size_t size : { std::size_t{ 0 }, std::size_t{ 100 }, kMegabyte / 16 }) {
+      moments.push_back({ size, 0, isResponseRead });
+      moments.push_back({ size, size, isResponseRead });
+    }
+    for (const std::size_t read :
+         { std::size_t{ 0 }, kMegabyte, 10 * kMegabyte, 31 * kMegabyte, 32 * kMegabyte }) {
+      moments.push_back({ 32 * kMegabyte, read, isResponseRead });
+    }
+  }
+  return moments;
+}
+
+std::ostream&
+operator<<(std::ostream& aStream, const Moment& aMoment)
+{
+  return aStream << "request of " << aMoment.requestBytes_ << " bytes, " << aMoment.readBytes_
+                 << " read, response " << (aMoment.isResponseRead_ ? "read" : "unread");
+}
+
+/// Sends a request and writes the response at the given moment.
+Fixture::Result
+Exchange(Fixture& aFixture, const Moment& aMoment, const std::string& aResponse)
+{
+  auto result = aFixture.Send("POST", "a", std::string(aMoment.requestBytes_, 'x'));
+  aFixture.ReceiveBody(aMoment.readBytes_);
+  if (!aResponse.empty()) {
+    aFixture.server_.Write(aResponse);
+  }
+  if (aMoment.isResponseRead_) {
+    aFixture.RunLoop(3);
+  }
+  return result;
+}
+
+} // namespace
+
+// A write that meets the reset takes its error, and the next read reports an end of the stream. An
+// instance sent a part of a body without length, reset the connection while an upload was being
+// written, and the part was delivered as a complete answer.
+BOOST_AUTO_TEST_CASE(a_reset_within_a_response_is_broken_at_each_moment_of_an_upload)
+{
+  for (const auto& moment : MakeMoments()) {
+    for (const auto& response : { std::string(),
+                                  std::string("HTTP/1.1 200 OK\r\nid"),
+                                  std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                                  kOk + "\r\n",
+                                  kOk + "\r\npart",
+                                  kOk + "connection: close\r\n\r\n" + std::string(9000, 'y'),
+                                  kSized + "\r\npa",
+                                  kChunked + "4\r\nbody\r\n",
+                                  kChunked + "4\r\nbody\r\n0\r\n" }) {
+      BOOST_TEST_CONTEXT(moment << ", " << Escape(response.substr(0, 80)))
+      {
+        Fixture fixture;
+        const auto result = Exchange(fixture, moment, response);
+        BOOST_CHECK(!result->has_value());
+        fixture.server_.ResetConnection();
+        fixture.RunUntilEnd(result);
+        BOOST_REQUIRE(result->has_value());
+        BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
+        (void)fixture.Send("b");
+        BOOST_TEST(fixture.server_.AcceptedCount() == 2);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_response_before_a_reset_is_an_answer_at_each_moment_of_an_upload)
+{
+  for (const auto& moment : MakeMoments()) {
+    for (const auto& response : { Fixture::AnswerTo("a", "body"),
+                                  kChunked + "4\r\nbody\r\n0\r\n\r\n",
+                                  kSized + "connection: close\r\n\r\nbody" }) {
+      BOOST_TEST_CONTEXT(moment << ", " << Escape(response))
+      {
+        Fixture fixture;
+        const auto result = Exchange(fixture, moment, response);
+        fixture.server_.ResetConnection();
+        fixture.RunUntilEnd(result);
+        BOOST_REQUIRE(result->has_value());
+        BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+        BOOST_TEST(*(*result)->response_.body_ == "body");
+        fixture.RunLoop(2); // reads the reset
+        (void)fixture.Send("b");
+        BOOST_TEST(fixture.server_.AcceptedCount() == 2);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_that_ends_with_its_stream_is_an_answer_at_each_moment_of_an_upload)
+{
+  for (const auto& moment : MakeMoments()) {
+    for (const std::string body : { "", "whole" }) {
+      for (const bool readsOn : { false, true }) {
+        BOOST_TEST_CONTEXT(moment << ", body '" << body << "', reads on " << readsOn)
+        {
+          Fixture fixture;
+          const auto result = Exchange(fixture, moment, Join({ kOk, "\r\n", body }));
+          BOOST_CHECK(!result->has_value());
+          fixture.server_.EndStream();
+          for (int i = 0; readsOn && i < 100 && !result->has_value(); ++i) {
+            fixture.RunLoop();
+            (void)fixture.server_.Read();
+          }
+          fixture.RunUntilEnd(result);
+          BOOST_REQUIRE(result->has_value());
+          BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+          BOOST_TEST(*(*result)->response_.body_ == body);
+          (void)fixture.Send("b");
+          BOOST_TEST(fixture.server_.AcceptedCount() == 2);
+        }
+      }
+    }
+  }
+}
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -1,8 +1,6 @@
 #define BOOST_TEST_MODULE http_client
-#include "../../src/adapters/connection/http_client.hpp"
-#include "../../src/adapters/process/system_clock.hpp"
+#include "../support/http_client_fixture.hpp"
 #include "../support/http_splits.hpp"
-#include "../support/scripted_server.hpp"
 #include "../support/silenced_server.hpp"
 
 #include <boost/test/included/unit_test.hpp>
@@ -11,54 +9,7 @@
 using namespace geraniumpin::test;
 using std::chrono::milliseconds;
 
-namespace {
-
-struct Fixture
-{
-  /// Sends a request and runs the loop until the server has read its head.
-  std::shared_ptr<std::optional<HttpResult>> Send(const std::string& aId,
-                                                  const std::string& aBody = "")
-  {
-    auto result = std::make_shared<std::optional<HttpResult>>();
-    const HttpRequest request{ .method_ = aBody.empty() ? "GET" : "POST",
-                               .host_ = "shop.example",
-                               .path_ = "/x",
-                               .headers_ = { { "id", aId } },
-                               .body_ = MakeBody(aBody) };
-    last_ = client_.Start(server_.Address(), request, { "id", aId }, [result](const auto& aResult) {
-      result->emplace(aResult);
-    });
-    std::string received;
-    for (int i = 0; i < 100 && received.find("\r\n\r\n") == std::string::npos; ++i) {
-      RunLoop();
-      server_.Accept();
-      received += server_.Read();
-    }
-    BOOST_REQUIRE(received.find("id: " + aId) != std::string::npos);
-    return result;
-  }
-
-  void RunLoop(int aTimes = 1)
-  {
-    for (int i = 0; i < aTimes; ++i) {
-      loop_.RunOnce(clock_.Now() + milliseconds(5));
-    }
-  }
-
-  static std::string AnswerTo(const std::string& aId, const std::string& aBody)
-  {
-    return "HTTP/1.1 200 OK\r\nid: " + aId + "\r\ncontent-length: " + std::to_string(aBody.size()) +
-           "\r\n\r\n" + aBody;
-  }
-
-  SystemClock clock_;
-  EventLoop loop_;
-  ScriptedServer server_;
-  HttpClient client_{ loop_, { milliseconds(4000), 1U << 20U } };
-  ClientExchangeId last_ = 0;
-};
-
-} // namespace
+using Fixture = HttpClientFixture;
 
 BOOST_FIXTURE_TEST_CASE(a_connection_serves_several_requests, Fixture)
 {
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -109,6 +109,9 @@
     }
   }
 
+  /// \brief Ends the stream to the client in order; the server can still read.
+  void EndStream() { BOOST_REQUIRE(shutdown(connection_, SHUT_WR) == 0); }
+
   /// \brief Closes the connection with a TCP reset.
   void ResetConnection()
   {
