HttpClient: deliver a whole response that arrives together with a reset

Callers saw: an unknown outcome although the response was whole.

Cause: when the bytes that have arrived fill h2o's read buffer exactly, it reads again; if that read meets a reset, h2o reports the error together with the bytes. The client failed the exchange without parsing them.

Change: at the end of a stream the client first parses what has arrived.

Evidence: http_client_broken_test sends responses of 256 to 65,536 bytes, each followed by a reset at once.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -314,10 +314,12 @@
       owner->Close(connection); // bytes without a pending request
       return;
     }
-    owner->Parse(connection);
+    (void)owner->Parse(connection);
   }
 
-  void Parse(Connection* aConnection)
+  /// Parses what has arrived. Returns true if the exchange goes on; otherwise it has ended, and the
+  /// connection may be destroyed.
+  bool Parse(Connection* aConnection)
   {
     auto& input = aConnection->socket_->input;
     while (input->size > 0) {
@@ -329,32 +331,33 @@
       const bool needsMore = error == impl::http::error::need_more;
       if (ExceedsFramingLimit(*aConnection, needsMore ? input->size : 0)) {
         Fail(aConnection, HttpOutcome::Broken);
-        return;
+        return false;
       }
       if (needsMore) {
-        return;
+        return true;
       }
       if (error) {
         Fail(aConnection, HttpOutcome::Broken);
-        return;
+        return false;
       }
       if (!aConnection->parser_->is_done()) {
         if (used == 0) {
-          return;
+          return true;
         }
         continue;
       }
       if (IsInterim(*aConnection) || IsStaleResponse(*aConnection)) {
         if (!DiscardResponse(*aConnection)) {
           Fail(aConnection, HttpOutcome::Broken);
-          return;
+          return false;
         }
         continue;
       }
       aConnection->reusable_ = aConnection->reusable_ && input->size == 0;
       Complete(aConnection);
-      return;
+      return false;
     }
+    return true;
   }
 
   /// Returns true if a response has too many bytes besides its body, or too many that the parser
@@ -402,6 +405,10 @@
       Close(aConnection);
       return;
     }
+    // The last bytes can arrive together with the end of the stream.
+    if (!Parse(aConnection)) {
+      return;
+    }
     auto& parser = *aConnection->parser_;
     boost::system::error_code error;
     const bool isReset = IsReset(h2o_socket_get_fd(aConnection->socket_));
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -153,6 +153,26 @@
   }
 }
 
+// A read can return the last bytes of a response together with the error that follows them.
+BOOST_AUTO_TEST_CASE(a_whole_response_of_any_size_before_a_reset_is_an_answer)
+{
+  for (std::size_t size = 256; size <= 65536; size += 256) {
+    BOOST_TEST_CONTEXT("response of " << size << " bytes")
+    {
+      Fixture fixture;
+      const auto result = fixture.Send("a");
+      const std::string bodyBytes(size - size / 2, 'y');
+      auto head = kOk + "content-length: " + std::to_string(bodyBytes.size());
+      head.resize(size / 2 - 4, ' '); // blanks behind a value are no part of it
+      fixture.server_.Write(Join({ head, "\r\n\r\n", bodyBytes }));
+      fixture.server_.ResetConnection();
+      fixture.RunUntilEnd(result);
+      BOOST_REQUIRE(result->has_value());
+      BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_body_that_ends_with_its_stream_is_an_answer_at_each_moment_of_an_upload)
 {
   for (const auto& moment : MakeMoments()) {
