HttpClient: a status that HTTP does not define is no answer

Callers saw: an instance in trouble sent an answer whose status was 000; callers got it as an answer, as "HTTP/1.1 0".

Cause: Boost.Beast accepts any three digits, and nothing else looked at the number. A 000 without the request's id was worse: it counted as a late response to another request, so the caller waited for its deadline.

Change: response_check.hpp is the one place that parses responses for all users of HttpClient (backend servers, the platform, geraniumpinctl). It lets Beast parse and then checks what Beast leaves out, as soon as the header is whole: a status outside 100 to 599 (RFC 9110, 15) is malformed, so the exchange is Broken and its connection closes.

Evidence: http_client_broken_test. Of 29 status lines that HTTP/1.1 does not allow, each sent whole and byte by byte, 000, 001, 099, 600 and 999 were delivered on, and two responses with 000 and no id were dropped. All are Broken now; Beast refused the other 24 before.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -2,14 +2,12 @@
 
 #include "../process/system_clock.hpp"
 #include "../request/lower_case.hpp"
+#include "response_check.hpp"
 #include "stream_state.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <h2o.h>
 #include <map>
@@ -24,8 +22,6 @@
 namespace impl {
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
 // Bytes of a response besides its body (header, chunk sizes and extensions, trailers): this many in
 // all, and this many for each byte of the body, which admits chunks of one byte.
@@ -79,8 +75,6 @@
 /// \brief Connections and the exchanges on them.
 struct HttpClient::Impl
 {
-  using Parser = impl::http::response_parser<impl::http::string_body>;
-
   struct Exchange
   {
     ClientExchangeId id_ = 0;
@@ -112,7 +106,7 @@
     std::string head_;
     Body body_;
     std::optional<Exchange> exchange_;
-    std::optional<Parser> parser_;
+    std::optional<ResponseParser> parser_;
     std::size_t parsedBytes_ = 0; ///< of the current response
     TimePoint readAt_;            ///< last bytes
     TimePoint idleUntil_;
@@ -324,11 +318,10 @@
     auto& input = aConnection->socket_->input;
     while (input->size > 0) {
       boost::system::error_code error;
-      const auto used =
-        aConnection->parser_->put(boost::asio::buffer(input->bytes, input->size), error);
+      const auto used = ParseResponse(*aConnection->parser_, { input->bytes, input->size }, error);
       h2o_buffer_consume(&input, used);
       aConnection->parsedBytes_ += used;
-      const bool needsMore = error == impl::http::error::need_more;
+      const bool needsMore = error == boost::beast::http::error::need_more;
       if (ExceedsFramingLimit(*aConnection, needsMore ? input->size : 0)) {
         Fail(aConnection, HttpOutcome::Broken);
         return false;
@@ -496,13 +489,9 @@
   {
     aConnection.parser_.emplace();
     aConnection.parsedBytes_ = 0;
-    auto& parser = *aConnection.parser_;
-    // Header and body are parsed in separate steps, since the body limit of Beast 1.74 has no
-    // effect on a body that begins in the same step.
-    parser.eager(false);
-    parser.header_limit(impl::kMaxResponseHeaderBytes);
-    parser.body_limit(limits_.maxBodyBytes_);
-    parser.skip(aConnection.exchange_->isHead_);
+    SetUpParser(*aConnection.parser_,
+                { impl::kMaxResponseHeaderBytes, limits_.maxBodyBytes_ },
+                aConnection.exchange_->isHead_);
   }
 
   EventLoop& loop_;
--- a/src/adapters/connection/http_client.hpp
+++ b/src/adapters/connection/http_client.hpp
@@ -16,7 +16,8 @@
 {
   Complete,      ///< the whole response arrived
   ConnectFailed, ///< no connection, so nothing was sent
-  Broken         ///< the request was sent, at least in part; the response is missing or truncated
+  /// The request was sent, at least in part; the response is missing, malformed or truncated.
+  Broken
 };
 
 /// \brief Outcome of an HTTP exchange and its response.
@@ -58,8 +59,8 @@
 /// request at a time. A response without the expected header field belongs to an earlier request
 /// and is discarded. Bytes after a response, or without a pending request, close the connection. A
 /// response without length is complete only if its connection ends without a reset. A response that
-/// exceeds a limit in header, body or framing, or too many discarded responses, are Broken. An
-/// exchange has no timeout: the caller of Start cancels.
+/// HTTP/1.1 does not allow, or that exceeds a limit in header, body or framing, and too many
+/// discarded responses are Broken. An exchange has no timeout: the caller of Start cancels.
 ///
 /// \code
 /// client.Start(address, request, {}, [](const HttpResult& result) { ... });
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -35,6 +35,14 @@
   const Body body_;
 };
 
+/// \brief Returns true for a status with which a response ends an exchange: defined by HTTP (RFC
+/// 9110, 15) and not interim.
+[[nodiscard]] constexpr bool
+IsFinalStatus(int aStatus) noexcept
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
 /// \brief Finds the value of the first field of that lower-case name; empty if there is none.
 [[nodiscard]] std::string_view
 FindHeader(const HeaderFields& aFields, std::string_view aName) noexcept;
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -47,6 +47,37 @@
   return escaped;
 }
 
+/// Expects that a response is no answer and that its connection, which the server leaves open,
+/// takes no further request. The bytes are sent at once and one at a time.
+void
+ExpectBroken(const std::string& aResponse)
+{
+  for (const std::size_t step : { aResponse.size(), std::size_t{ 1 } }) {
+    BOOST_TEST_CONTEXT(Escape(aResponse) << " in steps of " << step)
+    {
+      Fixture fixture;
+      const auto result = fixture.Send("a");
+      for (std::size_t at = 0; at < aResponse.size(); at += step) {
+        (void)fixture.server_.WriteSome(aResponse.substr(at, step));
+        fixture.loop_.RunOnce(fixture.clock_.Now());
+      }
+      fixture.RunUntilEnd(result);
+      BOOST_CHECK(result->has_value());
+      if (result->has_value()) {
+        BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
+        BOOST_TEST((*result)->response_.headers_.empty());
+      }
+      BOOST_TEST(fixture.server_.IsClosedByClient());
+    }
+  }
+}
+
+std::string
+WithStatusLine(const std::string& aLine)
+{
+  return aLine + "\r\nid: a\r\ncontent-length: 4\r\n\r\nbody";
+}
+
 /// When a server ends its connection: how much of the request body it has read, and whether the
 /// client has read the response before.
 struct Moment
@@ -99,6 +130,28 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(a_malformed_status_line_is_broken)
+{
+  for (const std::string line :
+       { "HTTP/1.1 000 OK",  "HTTP/1.1 001 OK",   "HTTP/1.1 099 OK",   "HTTP/1.1 600 OK",
+         "HTTP/1.1 999 OK",  "HTTP/1.1 0200 OK",  "HTTP/1.1 2000 OK",  "HTTP/1.1 20 OK",
+         "HTTP/1.1 2 OK",    "HTTP/1.1 2x0 OK",   "HTTP/1.1 -20 OK",   "HTTP/1.1 200OK",
+         "HTTP/1.1 200",     "HTTP/1.1",          "HTTP/1.1  200 OK",  "HTTP/1.1\t200 OK",
+         "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\1K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\n",
+         "HTTP/2.0 200 OK",  "HTTP/0.9 200 OK",   "HTTP/1.x 200 OK",   "HTTP/11 200 OK",
+         "http/1.1 200 OK",  "ICY 200 OK",        " HTTP/1.1 200 OK",  "\r\nHTTP/1.1 200 OK" }) {
+    ExpectBroken(WithStatusLine(line));
+  }
+  ExpectBroken(WithStatusLine(std::string("HTTP/1.1 200 O\0K", 16)));
+}
+
+// The response need not repeat the request's field: its status shows that it answers no request.
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_is_broken_whatever_its_fields)
+{
+  ExpectBroken("HTTP/1.1 000 \r\ncontent-length: 0\r\n\r\n");
+  ExpectBroken("HTTP/1.1 000 \r\nid: a\r\n\r\n");
+}
+
 // A write that meets the reset takes its error, and the next read reports an end of the stream. An
 // instance sent a part of a body without length, reset the connection while an upload was being
 // written, and the part was delivered as a complete answer.
