HttpClient: a switch to another protocol is no answer

Cause: a 101 was dropped like other interim responses. What follows it is in another protocol, which no request of ours asks for, and was read as the answer.

Change: response_check refuses 101.

--- a/src/adapters/connection/response_check.cpp
+++ b/src/adapters/connection/response_check.cpp
@@ -19,10 +19,12 @@
   return http::to_status_class(aHead.result_int()) == http::status_class::informational;
 }
 
+/// No request asks for another protocol, so the bytes after a 101 are of none that is known.
 bool
 HasValidStatus(const Head& aHead) noexcept
 {
-  return IsInformational(aHead) || IsFinalStatus(static_cast<int>(aHead.result_int()));
+  return IsInformational(aHead) ? aHead.result() != http::status::switching_protocols
+                                : IsFinalStatus(static_cast<int>(aHead.result_int()));
 }
 
 boost::system::error_code
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -145,6 +145,13 @@
   ExpectBroken(WithStatusLine(std::string("HTTP/1.1 200 O\0K", 16)));
 }
 
+// The response to a request in another protocol, which no request asks for.
+BOOST_AUTO_TEST_CASE(a_switch_of_protocols_is_broken)
+{
+  ExpectBroken("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n" +
+               Fixture::AnswerTo("a", "body"));
+}
+
 // The response need not repeat the request's field: its status shows that it answers no request.
 BOOST_AUTO_TEST_CASE(a_status_out_of_range_is_broken_whatever_its_fields)
 {
