HttpClient: a framing that does not delimit the body is no answer

Callers saw: on other systems, a body that was not the instance's.

Cause: Boost.Beast decodes a body if "chunked" is the last transfer coding and otherwise ignores the field. So a body in gzip and chunked was passed on in gzip without saying so; with "identity", "chunked, gzip" or "chunked, chunked" the body was read by its length or to the end of the stream, with the chunk sizes in it; "chunked;q=1" and "chunked gzip" counted as chunked. A length or a transfer coding in a 204 or an interim response was ignored, so that its body could be taken for a response.

Change: response_check admits one field with the coding "chunked", in HTTP/1.1 only and without a length, and neither a coding nor a length above 0 in 204 and interim responses (RFC 9112, 6).

Evidence: http_client_broken_test.

--- a/src/adapters/connection/response_check.cpp
+++ b/src/adapters/connection/response_check.cpp
@@ -3,6 +3,8 @@
 #include "../request/http_message.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <iterator>
 
 namespace geraniumpin {
 
@@ -27,6 +29,38 @@
                                 : IsFinalStatus(static_cast<int>(aHead.result_int()));
 }
 
+/// The request names no transfer codings, so a server may use only "chunked" (RFC 9112, 6.1).
+bool
+HasValidTransferEncoding(const Head& aHead)
+{
+  const auto [first, last] = aHead.equal_range(http::field::transfer_encoding);
+  if (first == last) {
+    return true;
+  }
+  const http::opt_token_list codings(first->value());
+  const bool isChunked = std::next(first) == last && http::validate_list(codings) &&
+                         std::distance(codings.begin(), codings.end()) == 1 &&
+                         boost::beast::iequals(*codings.begin(), "chunked");
+  constexpr unsigned kHttp11 = 11;
+  return isChunked && aHead.version() == kHttp11 && aHead.count(http::field::content_length) == 0;
+}
+
+/// Returns true if the response has no body whatever its fields say (RFC 9112, 6.3).
+bool
+HasNoContent(const Head& aHead) noexcept
+{
+  return IsInformational(aHead) || aHead.result() == http::status::no_content;
+}
+
+/// A stated body that is not sent leaves open to which response the next bytes belong. Many servers
+/// state the length 0.
+bool
+StatesContent(const ResponseParser& aParser)
+{
+  const auto length = aParser.content_length();
+  return aParser.get().count(http::field::transfer_encoding) > 0 || (length && *length > 0);
+}
+
 boost::system::error_code
 CheckHead(const ResponseParser& aParser)
 {
@@ -34,6 +68,12 @@
   if (!HasValidStatus(head)) {
     return http::error::bad_status;
   }
+  if (!HasValidTransferEncoding(head)) {
+    return http::error::bad_transfer_encoding;
+  }
+  if (HasNoContent(head) && StatesContent(aParser)) {
+    return http::error::bad_content_length;
+  }
   return {};
 }
 
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -159,6 +159,48 @@
   ExpectBroken("HTTP/1.1 000 \r\nid: a\r\n\r\n");
 }
 
+BOOST_AUTO_TEST_CASE(a_malformed_length_is_broken)
+{
+  for (const std::string value :
+       { "", "-1", "+4", "0x4", "4 4", "4;", "4,5", "4.0", "four", "18446744073709551616" }) {
+    ExpectBroken(Join({ kOk, "content-length: ", value, "\r\n\r\nbody" }));
+  }
+  ExpectBroken(kSized + "content-length: 5\r\n\r\nbody");
+  ExpectBroken("HTTP/1.1 204 No Content\r\nid: a\r\ncontent-length: 4\r\n\r\nbody");
+  ExpectBroken("HTTP/1.1 103 Early Hints\r\ncontent-length: 4\r\n\r\nbody" +
+               Fixture::AnswerTo("a", "body"));
+}
+
+BOOST_AUTO_TEST_CASE(a_transfer_coding_other_than_chunked_is_broken)
+{
+  const std::string body = "4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string value : { "",
+                                   "identity",
+                                   "gzip",
+                                   "gzip, chunked",
+                                   "chunked, gzip",
+                                   "chunked, chunked",
+                                   "chunked;q=1",
+                                   "chunked gzip",
+                                   "xchunked",
+                                   "chunkedx",
+                                   "\"chunked\"" }) {
+    ExpectBroken(Join({ kOk, "transfer-encoding: ", value, "\r\n\r\n", body }));
+    ExpectBroken(Join({ kOk, "transfer-encoding: ", value, "\r\ncontent-length: 4\r\n\r\nbody" }));
+    ExpectBroken(Join({ kSized, "transfer-encoding: ", value, "\r\n\r\nbody" }));
+  }
+  const std::string chunked = "transfer-encoding: chunked\r\n";
+  ExpectBroken(kOk + "transfer-encoding: gzip\r\n" + chunked + "\r\n" + body);
+  ExpectBroken(kOk + chunked + "transfer-encoding: gzip\r\n\r\n" + body);
+  ExpectBroken(kOk + chunked + chunked + "\r\n" + body);
+  ExpectBroken(kOk + chunked + "content-length: 4\r\n\r\n" + body);
+  ExpectBroken(kSized + chunked + "\r\n" + body);
+  ExpectBroken("HTTP/1.0 200 OK\r\nid: a\r\n" + chunked + "\r\n" + body);
+  ExpectBroken("HTTP/1.1 204 No Content\r\nid: a\r\n" + chunked + "\r\n" + body);
+  ExpectBroken("HTTP/1.1 103 Early Hints\r\n" + chunked + "\r\n" + body +
+               Fixture::AnswerTo("a", "body"));
+}
+
 // A write that meets the reset takes its error, and the next read reports an end of the stream. An
 // instance sent a part of a body without length, reset the connection while an upload was being
 // written, and the part was delivered as a complete answer.
