HttpClient: a control byte in a chunk extension is no answer

Callers saw: nothing; found while looking for the same cause.

Cause: Boost.Beast accepts any byte within the quotes of an extension.

Change: response_check refuses control bytes there, through the parser's callback for chunk headers.

Evidence: http_client_broken_test; on one of 21 malformed chunk framings was delivered, this one.

--- a/src/adapters/connection/response_check.cpp
+++ b/src/adapters/connection/response_check.cpp
@@ -2,6 +2,7 @@
 
 #include "../request/http_message.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <iterator>
@@ -77,6 +78,16 @@
   return {};
 }
 
+/// Boost.Beast accepts any byte within the quotes of a chunk extension.
+void
+CheckChunkExtensions(std::uint64_t /*aChunkBytes*/,
+                     boost::beast::string_view aExtensions,
+                     boost::system::error_code& aError)
+{
+  const bool isValid = std::none_of(aExtensions.begin(), aExtensions.end(), IsControlByte);
+  aError = isValid ? boost::system::error_code{} : http::error::bad_chunk_extension;
+}
+
 } // namespace
 } // namespace impl
 
@@ -89,6 +100,7 @@
   aParser.header_limit(aLimits.maxHeaderBytes_);
   aParser.body_limit(aLimits.maxBodyBytes_);
   aParser.skip(aIsHead);
+  aParser.on_chunk_header(impl::CheckChunkExtensions);
 }
 
 std::size_t
--- a/src/adapters/connection/response_check.hpp
+++ b/src/adapters/connection/response_check.hpp
@@ -24,7 +24,8 @@
 SetUpParser(ResponseParser& aParser, const ResponseLimits& aLimits, bool aIsHead);
 
 /// \brief Parses bytes of a response, and refuses what Boost.Beast accepts although HTTP/1.1 does
-/// not allow it: a status out of range, and a framing that does not delimit the body.
+/// not allow it: a status out of range, a framing that does not delimit the body, a control byte in
+/// a chunk extension.
 /// \returns The number of bytes that were parsed.
 /// \param aError need_more, or why the response is malformed; cleared otherwise.
 [[nodiscard]] std::size_t
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -35,6 +35,15 @@
   const Body body_;
 };
 
+/// \brief Returns true for a control byte, which no field value may hold (RFC 9110, 5.5). A tab is
+/// none.
+[[nodiscard]] constexpr bool
+IsControlByte(char aByte) noexcept
+{
+  constexpr char kDelete = 0x7f;
+  return (aByte >= 0 && aByte < ' ' && aByte != '\t') || aByte == kDelete;
+}
+
 /// \brief Returns true for a status with which a response ends an exchange: defined by HTTP (RFC
 /// 9110, 15) and not interim.
 [[nodiscard]] constexpr bool
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -201,6 +201,33 @@
                Fixture::AnswerTo("a", "body"));
 }
 
+BOOST_AUTO_TEST_CASE(malformed_chunks_are_broken)
+{
+  for (const std::string chunks : { "g\r\nbody\r\n",
+                                    "-4\r\nbody\r\n",
+                                    "+4\r\nbody\r\n",
+                                    "0x4\r\nbody\r\n0\r\n\r\n",
+                                    " 4\r\nbody\r\n",
+                                    "\r\nbody\r\n",
+                                    "4 5\r\nbody\r\n",
+                                    "4\nbody\r\n",
+                                    "4\rbody\r\n",
+                                    "11111111111111111\r\nbody\r\n",
+                                    "4\r\nbodyxx0\r\n\r\n",
+                                    "4\r\nbody\n0\r\n\r\n",
+                                    "4;=x\r\nbody\r\n",
+                                    "4;x=\r\nbody\r\n",
+                                    "4;x y\r\nbody\r\n",
+                                    "4;x=\"\1\"\r\nbody\r\n0\r\n\r\n",
+                                    "4\r\nbody\r\n0\r\nx y: 1\r\n\r\n",
+                                    "4\r\nbody\r\n0\r\nx\1: 1\r\n\r\n",
+                                    "4\r\nbody\r\n0\r\nx: \1\r\n\r\n",
+                                    "4\r\nbody\r\n0\r\ncontent-length: 4\r\n\r\n",
+                                    "4\r\nbody\r\n0\r\ntransfer-encoding: chunked\r\n\r\n" }) {
+    ExpectBroken(kChunked + chunks);
+  }
+}
+
 // A write that meets the reset takes its error, and the next read reports an end of the stream. An
 // instance sent a part of a body without length, reset the connection while an upload was being
 // written, and the part was delivered as a complete answer.
