Messages between nodes: an answer that is no HTTP response is not passed on

Callers saw: as for status 000, while nodes of two releases run side by side: an owner of an earlier release passes on what it took for an answer.

Cause: a node wrote the status and the fields of a reply to its caller as they came.

Change: a reply with a status or a field that HTTP does not allow is read as an unknown outcome, connection_broken. It is not dropped as a malformed message, since its caller would wait for its deadline.

Answers with valid statuses from 200 to 599 are read as before.

--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -1,7 +1,9 @@
 #include "peer_codec.hpp"
 
+#include "../request/http_message.hpp"
 #include "generated/peer.pb.h"
 
+#include <algorithm>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -140,6 +142,15 @@
   to.set_takes_work(aFrom.loadReport_.acceptsWork_);
 }
 
+/// Returns true if an answer can be passed on as an HTTP response. A node of an earlier release may
+/// have read one that cannot.
+bool
+IsValidAnswer(const Answer& aAnswer)
+{
+  const bool hasStatus = aAnswer.outcome_ != Outcome::Answered || IsFinalStatus(aAnswer.status_);
+  return hasStatus && std::all_of(aAnswer.headers_.begin(), aAnswer.headers_.end(), IsValidField);
+}
+
 std::optional<Payload>
 Read(const wire::CallReply& aFrom)
 {
@@ -147,14 +158,18 @@
       aFrom.reason() > static_cast<std::uint32_t>(kLastReason)) {
     return std::nullopt;
   }
+  const Answer answer{ .outcome_ = static_cast<Outcome>(aFrom.outcome()),
+                       .reason_ = static_cast<Reason>(aFrom.reason()),
+                       .status_ = aFrom.status(),
+                       .headers_ = ReadHeaders(aFrom.headers()),
+                       .body_ = MakeBody(aFrom.body()),
+                       .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
   return CallReply{ .id_ = Read(aFrom.id()),
                     .attempt_ = aFrom.attempt(),
-                    .answer_ = { .outcome_ = static_cast<Outcome>(aFrom.outcome()),
-                                 .reason_ = static_cast<Reason>(aFrom.reason()),
-                                 .status_ = aFrom.status(),
-                                 .headers_ = ReadHeaders(aFrom.headers()),
-                                 .body_ = MakeBody(aFrom.body()),
-                                 .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) },
+                    .answer_ =
+                      IsValidAnswer(answer)
+                        ? answer
+                        : Answer::WithoutContent(Outcome::Unknown, Reason::ConnectionBroken),
                     .loadReport_ = { aFrom.load(), aFrom.takes_work() },
                     .queueTime_ = FromMicroseconds(aFrom.queued_us()),
                     .instanceTime_ = FromMicroseconds(aFrom.ran_us()) };
--- a/src/adapters/request/http_message.cpp
+++ b/src/adapters/request/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 
 namespace geraniumpin {
@@ -35,6 +36,17 @@
 } // namespace
 } // namespace impl
 
+bool
+IsValidField(const HeaderField& aField)
+{
+  // A token is a list with itself as the only element.
+  const boost::beast::string_view name(aField.name_);
+  const boost::beast::http::opt_token_list tokens(name);
+  return boost::beast::http::validate_list(tokens) && tokens.begin() != tokens.end() &&
+         *tokens.begin() == name &&
+         std::none_of(aField.value_.begin(), aField.value_.end(), IsControlByte);
+}
+
 std::string_view
 FindHeader(const HeaderFields& aFields, std::string_view aName) noexcept
 {
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -52,6 +52,11 @@
   return aStatus >= 200 && aStatus <= 599;
 }
 
+/// \brief Returns true if a field may stand in a header: its name is a token, and its value has no
+/// control bytes.
+[[nodiscard]] bool
+IsValidField(const HeaderField& aField);
+
 /// \brief Finds the value of the first field of that lower-case name; empty if there is none.
 [[nodiscard]] std::string_view
 FindHeader(const HeaderFields& aFields, std::string_view aName) noexcept;
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -102,6 +102,53 @@
   BOOST_TEST(!DecodeEnvelope("garbage"));
 }
 
+// A node of an earlier release passed on answers with a status or a field that HTTP does not allow.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_no_http_response_is_read_as_a_broken_exchange)
+{
+  const auto read = [](int aStatus, const HeaderField& aField, Outcome aOutcome) {
+    const Answer answer{ aOutcome, Reason::None, aStatus, { { "a", "b" }, aField }, MakeBody("x") };
+    const CallReply reply{
+      .id_ = { 1, 2 }, .attempt_ = 3, .answer_ = answer, .loadReport_ = { 0.5 }
+    };
+    const auto envelope = DecodeEnvelope(EncodeEnvelope(Wrap(reply)));
+    BOOST_REQUIRE(envelope);
+    return std::get<CallReply>(envelope->payload_);
+  };
+  const HeaderField good{ "x-good", "\tgood value" };
+  const auto expectBroken = [&](int aStatus, const HeaderField& aField, Outcome aOutcome) {
+    const auto reply = read(aStatus, aField, aOutcome);
+    BOOST_TEST_CONTEXT("status " << aStatus << ", field " << aField.name_)
+    {
+      BOOST_TEST((reply.answer_.outcome_ == Outcome::Unknown));
+      BOOST_TEST((reply.answer_.reason_ == Reason::ConnectionBroken));
+      BOOST_TEST(reply.answer_.headers_.empty());
+      BOOST_TEST((reply.id_ == CallId{ 1, 2 }));
+      BOOST_TEST(reply.loadReport_.load_ == 0.5);
+    }
+  };
+  for (const int status : { -1, 0, 99, 100, 101, 199, 600, 999 }) {
+    expectBroken(status, good, Outcome::Answered);
+  }
+  for (const HeaderField& field : { HeaderField{ "", "v" },
+                                    HeaderField{ "x y", "v" },
+                                    HeaderField{ "x\1", "v" },
+                                    HeaderField{ "x:", "v" },
+                                    HeaderField{ "x,y", "v" },
+                                    HeaderField{ ",x", "v" },
+                                    HeaderField{ "x", "v\r\ny: 1" },
+                                    HeaderField{ "x", std::string("v\0", 2) } }) {
+    expectBroken(200, field, Outcome::Answered);
+    expectBroken(0, field, Outcome::NotRun); // promises nothing
+  }
+  for (const int status : { 200, 204, 299, 304, 418, 500, 599 }) {
+    const auto reply = read(status, good, Outcome::Answered);
+    BOOST_TEST((reply.answer_.outcome_ == Outcome::Answered), status);
+    BOOST_TEST(reply.answer_.status_ == status);
+    BOOST_TEST(reply.answer_.headers_.size() == 2U);
+  }
+  BOOST_TEST((read(0, good, Outcome::NotRun).answer_.outcome_ == Outcome::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(only_the_shared_key_makes_a_valid_tag)
 {
   const auto bytes = EncodeEnvelope(Wrap(TakeoverRequest{ 1 }));
