Messages between nodes: carry field values that are not UTF-8

Callers saw: nothing until their deadline, though the instance had answered, if a field of the answer held a byte above 127 in another encoding and the instance was behind another node.

Cause: the value of a field was a protobuf string; a message with a string that is not UTF-8 is refused whole. HTTP allows any byte from 128 on in a field value.

Evidence: peer_codec_test; the message with such a field was refused before.

--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -149,6 +149,22 @@
   BOOST_TEST((read(0, good, Outcome::NotRun).answer_.outcome_ == Outcome::NotRun));
 }
 
+// Bytes above 127 are allowed in a field value in any encoding. The message was refused if they
+// were not UTF-8, so that an answer with them was lost on its way to another node.
+BOOST_AUTO_TEST_CASE(a_field_value_that_is_not_utf8_is_read_back)
+{
+  const HeaderFields fields{ { "x-name", "caf\xe9" } };
+  const CallReply reply{ .id_ = { 1, 2 },
+                         .attempt_ = 3,
+                         .answer_ = {
+                           Outcome::Answered, Reason::None, 200, fields, MakeBody("x") } };
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(Wrap(reply)));
+  BOOST_REQUIRE(decoded);
+  const auto& answer = std::get<CallReply>(decoded->payload_).answer_;
+  BOOST_TEST((answer.outcome_ == Outcome::Answered));
+  BOOST_TEST((answer.headers_ == fields));
+}
+
 BOOST_AUTO_TEST_CASE(only_the_shared_key_makes_a_valid_tag)
 {
   const auto bytes = EncodeEnvelope(Wrap(TakeoverRequest{ 1 }));
