--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -16,10 +16,18 @@
 
 using Fixture = HttpClientFixture;
 
+constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
 const std::string kOk = "HTTP/1.1 200 OK\r\nid: a\r\n";
 const std::string kSized = kOk + "content-length: 4\r\n";
 const std::string kChunked = kOk + "transfer-encoding: chunked\r\n\r\n";
 
+bool
+IsTokenByte(char aByte)
+{
+  return std::isalnum(static_cast<unsigned char>(aByte)) != 0 ||
+         kTokenPunctuation.find(aByte) != std::string_view::npos;
+}
+
 std::string
 Join(std::initializer_list<std::string_view> aTexts)
 {
@@ -72,6 +80,30 @@
   }
 }
 
+void
+ExpectAnswer(const std::string& aResponse, int aStatus, const std::string& aBody, bool aIsHead)
+{
+  BOOST_TEST_CONTEXT(Escape(aResponse))
+  {
+    Fixture fixture;
+    const auto result = fixture.Send(aIsHead ? "HEAD" : "GET", "a", "");
+    fixture.server_.Write(aResponse);
+    fixture.RunUntilEnd(result);
+    BOOST_REQUIRE(result->has_value());
+    BOOST_TEST(((*result)->outcome_ == HttpOutcome::Complete));
+    BOOST_TEST((*result)->response_.status_ == aStatus);
+    const auto& body = (*result)->response_.body_;
+    BOOST_TEST((body ? *body : std::string()) == aBody);
+    // The next request uses the same connection.
+    const auto next = fixture.Send("b");
+    BOOST_TEST(fixture.server_.AcceptedCount() == 1);
+    fixture.server_.Write(Fixture::AnswerTo("b", "next"));
+    fixture.RunUntilEnd(next);
+    BOOST_REQUIRE(next->has_value());
+    BOOST_TEST(*(*next)->response_.body_ == "next");
+  }
+}
+
 std::string
 WithStatusLine(const std::string& aLine)
 {
@@ -159,6 +191,36 @@
   ExpectBroken("HTTP/1.1 000 \r\nid: a\r\n\r\n");
 }
 
+BOOST_AUTO_TEST_CASE(a_field_name_that_is_no_token_is_broken)
+{
+  for (int code = 0; code < 256; ++code) {
+    const auto byte = static_cast<char>(code);
+    if (IsTokenByte(byte) || byte == ':') {
+      continue;
+    }
+    const std::string text(1, byte);
+    ExpectBroken(Join({ kSized, "x", text, "y: 1\r\n\r\nbody" }));
+    ExpectBroken(Join({ kSized, "x", text, ": 1\r\n\r\nbody" }));
+    // Behind the status line, where a blank does not continue a field.
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + text + "x: 1\r\nid: a\r\ncontent-length: 4\r\n\r\nbody");
+  }
+  ExpectBroken(kSized + ": 1\r\n\r\nbody");
+  ExpectBroken(kSized + "x\r\n\r\nbody");
+  ExpectBroken(kOk + "content-length : 4\r\n\r\nbody");
+  ExpectBroken(kOk + "content length: 4\r\n\r\nbody");
+  ExpectBroken(kOk + "transfer-encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_field_value_with_a_control_byte_is_broken)
+{
+  for (int code = 0; code < 128; ++code) {
+    const auto byte = static_cast<char>(code);
+    if (byte != '\t' && (code < ' ' || code == 127)) {
+      ExpectBroken(kSized + "x: a" + std::string(1, byte) + "b\r\n\r\nbody");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_length_is_broken)
 {
   for (const std::string value :
@@ -228,6 +290,53 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(responses_that_resemble_malformed_ones_are_answers)
+{
+  const auto expectAnswer =
+    [](const std::string& aResponse, int aStatus, const std::string& aBody) {
+      ExpectAnswer(aResponse, aStatus, aBody, false);
+    };
+  for (const int status : { 200, 203, 299, 399, 418, 451, 499, 500, 511, 599 }) {
+    expectAnswer(WithStatusLine("HTTP/1.1 " + std::to_string(status) + " Reason"), status, "body");
+  }
+  expectAnswer(WithStatusLine("HTTP/1.1 200 "), 200, "body");
+  expectAnswer(WithStatusLine("HTTP/1.1 200 a\tb \xe9"), 200, "body");
+  expectAnswer(WithStatusLine("HTTP/1.0 200 OK\r\nconnection: keep-alive"), 200, "body");
+  expectAnswer("HTTP/1.1 204 No Content\r\nid: a\r\n\r\n", 204, "");
+  expectAnswer("HTTP/1.1 204 No Content\r\nid: a\r\ncontent-length: 0\r\n\r\n", 204, "");
+  expectAnswer("HTTP/1.1 205 Reset Content\r\nid: a\r\ncontent-length: 0\r\n\r\n", 205, "");
+  expectAnswer("HTTP/1.1 304 Not Modified\r\nid: a\r\ncontent-length: 4\r\n\r\n", 304, "");
+  expectAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n" +
+                 Fixture::AnswerTo("a", "body"),
+               200,
+               "body");
+  expectAnswer("HTTP/1.1 199 Other\r\n\r\n" + Fixture::AnswerTo("a", "body"), 200, "body");
+  expectAnswer(kSized + "content-length: 4\r\n\r\nbody", 200, "body");
+  expectAnswer(kOk + "content-length: 4, 4\r\n\r\nbody", 200, "body");
+  expectAnswer(kOk + "Content-Length:4\t\r\n\r\nbody", 200, "body");
+  for (const std::string value : { "chunked", "Chunked", ", chunked", "chunked," }) {
+    expectAnswer(
+      Join({ kOk, "Transfer-Encoding: ", value, "\r\n\r\n4\r\nbody\r\n0\r\n\r\n" }), 200, "body");
+  }
+  expectAnswer(kChunked + "4;x;y=z;q=\"a\\\"b\"\r\nbody\r\n000\r\n\r\n", 200, "body");
+  expectAnswer(kChunked + "4 ; x = y\r\nbody\r\n0\r\nt: 1\r\n\r\n", 200, "body");
+  std::string name;
+  for (int code = 0; code < 128; ++code) {
+    if (IsTokenByte(static_cast<char>(code))) {
+      name.push_back(static_cast<char>(code));
+    }
+  }
+  expectAnswer(kSized + name + ": \r\nx: \t\xe9 \ty\r\n\r\nbody", 200, "body");
+  expectAnswer(kSized + "x: folded\r\n value\r\n\r\nbody", 200, "body");
+}
+
+BOOST_AUTO_TEST_CASE(responses_to_head_requests_are_answers_without_a_body)
+{
+  ExpectAnswer(kSized + "\r\n", 200, "", true);
+  ExpectAnswer(kChunked, 200, "", true);
+  ExpectAnswer(kOk + "\r\n", 200, "", true);
+}
+
 // A write that meets the reset takes its error, and the next read reports an end of the stream. An
 // instance sent a part of a body without length, reset the connection while an upload was being
 // written, and the part was delivered as a complete answer.
