Name the cause of a broken exchange with the id of its request

Callers saw: 502 connection_broken; nothing in any log told a reset from a malformed answer, or which part of it was malformed.

Cause: HttpClient reported Broken without a reason.

Change: a result without a response carries a detail: Beast's message for what is malformed, or how the connection ended. The owner writes one line for it, event=exchange_broken, with the id of the request; the platform's reads have it in platform_lost; geraniumpinctl prints it on standard error.

--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -145,7 +145,10 @@
     };
     const auto exchangeId = std::make_shared<ClientExchangeId>();
     *exchangeId =
-      client_.Start(aAddress, request, {}, [this, exchangeId](const HttpResult& aResult) {
+      client_.Start(aAddress, request, {}, [this, exchangeId, aAddress](const HttpResult& aResult) {
+        if (aResult.outcome_ == HttpOutcome::Broken) {
+          std::cerr << aAddress.Text() << ": " << aResult.detail_ << "\n";
+        }
         const bool good =
           aResult.outcome_ == HttpOutcome::Complete && aResult.response_.status_ == 200;
         auto pendingRequest = pendingRequests_.extract(*exchangeId);
--- a/include/geraniumpin/connection/backend_connection.hpp
+++ b/include/geraniumpin/connection/backend_connection.hpp
@@ -41,7 +41,7 @@
   Shed,          ///< it refused the request without executing it
   OtherInstance, ///< another instance has the address; nothing was executed
   ConnectFailed, ///< the request was not sent
-  Broken         ///< the connection ended after the request was sent
+  Broken         ///< the request was sent; the response is missing, malformed or truncated
 };
 
 /// \brief Result of an exchange with the backend server, with the response if it is complete.
@@ -52,6 +52,7 @@
   const int status_ = 0;
   const HeaderFields headers_;
   const Body body_;
+  const std::string detail_; ///< why there is no response, for logs
 };
 
 /// \brief Sends requests to the backend server of this VM.
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -145,6 +145,9 @@
     }
     const auto startedAt = found->second.startedAt_;
     context_.GetMetrics().Record("backend_ms", context_.Now() - startedAt);
+    if (aEnd.result_ == BackendResult::Broken) {
+      WriteBroken(found->second, aEnd);
+    }
     UpdateAvailability(aEnd.result_);
     UpdateReplacement(found->second, aEnd.result_);
     UpdateBreaker(aEnd);
@@ -506,6 +509,17 @@
                      .With("patience_us", Microseconds(aRequest.queueTimeout_)));
   }
 
+  void WriteBroken(const OwnedAttempt& aAttempt, const BackendCompletion& aEnd)
+  {
+    context_.Write(LogEvent("exchange_broken", Severity::Warning)
+                     .With("call", ToString(aEnd.id_.call_))
+                     .With("request", aAttempt.request_.requestId_)
+                     .With("attempt", aEnd.id_.attempt_)
+                     .With("instance", instance_)
+                     .With("detail", aEnd.detail_)
+                     .With("us", Microseconds(context_.Now() - aAttempt.startedAt_)));
+  }
+
   void WriteDequeued(const AttemptId& aId)
   {
     const auto& attempt = attempts_.at(aId);
--- a/include/geraniumpin/request/outcome.hpp
+++ b/include/geraniumpin/request/outcome.hpp
@@ -34,7 +34,7 @@
   BodyTooLarge,      ///< the body exceeds the size limit
   Shed,              ///< the backend server refused the request before running it
   ConnectFailed,     ///< the connection to the backend server failed
-  ConnectionBroken,  ///< the connection to the backend server broke after the request was sent
+  ConnectionBroken,  ///< the request was sent; its answer is missing, malformed or truncated
   PeerSilent,        ///< no contact with the owner node since the attempt was sent
   DuplicateInFlight, ///< a request with the same idempotency key is running
   Cancelled,         ///< the caller closed its connection
--- a/src/adapters/connection/backend_client.cpp
+++ b/src/adapters/connection/backend_client.cpp
@@ -115,7 +115,8 @@
               .result_ = ClassifyResult(aResult),
               .status_ = aResult.response_.status_,
               .headers_ = impl::SelectEndToEndHeaders(aResult.response_.headers_),
-              .body_ = aResult.response_.body_ });
+              .body_ = aResult.response_.body_,
+              .detail_ = aResult.detail_ });
 }
 
 } // namespace geraniumpin
--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -38,6 +39,8 @@
 // Unacknowledged bytes end a connection after this time, so that a dead link is detected.
 constexpr unsigned kTcpUserTimeoutMs = 3000;
 
+constexpr std::string_view kConnectFailed = "connect failed";
+
 std::string
 EncodeHead(const NodeAddress& aServer, const HttpRequest& aRequest)
 {
@@ -192,7 +195,7 @@
     for (const auto id : std::exchange(owner->failedExchanges_, {})) {
       const auto found = owner->byExchange_.find(id);
       if (found != owner->byExchange_.end()) {
-        owner->Fail(found->second, HttpOutcome::ConnectFailed);
+        owner->Fail(found->second, HttpOutcome::ConnectFailed, impl::kConnectFailed);
       }
     }
   }
@@ -250,7 +253,7 @@
     auto* connection = static_cast<Connection*>(aSocket->data);
     auto* owner = connection->owner_;
     if (aError != nullptr) {
-      owner->Fail(connection, HttpOutcome::ConnectFailed);
+      owner->Fail(connection, HttpOutcome::ConnectFailed, impl::kConnectFailed);
       return;
     }
     connection->connected_ = true;
@@ -323,14 +326,14 @@
       aConnection->parsedBytes_ += used;
       const bool needsMore = error == boost::beast::http::error::need_more;
       if (ExceedsFramingLimit(*aConnection, needsMore ? input->size : 0)) {
-        Fail(aConnection, HttpOutcome::Broken);
+        Fail(aConnection, HttpOutcome::Broken, "framing limit exceeded");
         return false;
       }
       if (needsMore) {
         return true;
       }
       if (error) {
-        Fail(aConnection, HttpOutcome::Broken);
+        Fail(aConnection, HttpOutcome::Broken, error.message());
         return false;
       }
       if (!aConnection->parser_->is_done()) {
@@ -341,7 +344,7 @@
       }
       if (IsInterim(*aConnection) || IsStaleResponse(*aConnection)) {
         if (!DiscardResponse(*aConnection)) {
-          Fail(aConnection, HttpOutcome::Broken);
+          Fail(aConnection, HttpOutcome::Broken, "too many responses to discard");
           return false;
         }
         continue;
@@ -412,7 +415,15 @@
         return;
       }
     }
-    Fail(aConnection, HttpOutcome::Broken);
+    Fail(aConnection, HttpOutcome::Broken, DescribeEnd(parser, aOrderly && !isReset));
+  }
+
+  static std::string_view DescribeEnd(const ResponseParser& aParser, bool aOrderly)
+  {
+    if (!aOrderly) {
+      return "connection reset or timed out";
+    }
+    return aParser.got_some() ? "closed within the response" : "closed without a response";
   }
 
   /// Passes the response to the callback; the rest of an unfinished request body is still sent, for
@@ -453,7 +464,7 @@
     return done;
   }
 
-  void Fail(Connection* aConnection, HttpOutcome aEnd)
+  void Fail(Connection* aConnection, HttpOutcome aEnd, std::string_view aDetail)
   {
     if (!aConnection->exchange_) {
       Close(aConnection);
@@ -461,7 +472,7 @@
     }
     const auto done = TakeExchange(*aConnection);
     Close(aConnection);
-    done({ .outcome_ = aEnd, .response_ = {} });
+    done({ .outcome_ = aEnd, .response_ = {}, .detail_ = std::string(aDetail) });
   }
 
   void ReleaseConnection(Connection* aConnection)
--- a/src/adapters/connection/http_client.hpp
+++ b/src/adapters/connection/http_client.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace geraniumpin {
 
@@ -25,6 +26,7 @@
 {
   const HttpOutcome outcome_ = HttpOutcome::Broken;
   const HttpResponse response_; ///< empty unless Complete
+  const std::string detail_;    ///< why there is no response, for logs; empty if Complete
 };
 
 /// \brief A header field that the server must repeat in its response.
--- a/src/adapters/connection/platform_client.hpp
+++ b/src/adapters/connection/platform_client.hpp
@@ -77,13 +77,8 @@
 
   [[nodiscard]] static ItemsRead MakeItemsRead(const HttpResult& aResult)
   {
-    switch (aResult.outcome_) {
-      case HttpOutcome::ConnectFailed:
-        return { .detail_ = "connect failed" };
-      case HttpOutcome::Broken:
-        return { .detail_ = "connection broken" };
-      case HttpOutcome::Complete:
-        break;
+    if (aResult.outcome_ != HttpOutcome::Complete) {
+      return { .detail_ = aResult.detail_ };
     }
     return Protocol::Parse(aResult.response_);
   }
--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -74,6 +74,7 @@
       if (result->has_value()) {
         BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
         BOOST_TEST((*result)->response_.headers_.empty());
+        BOOST_TEST(!(*result)->detail_.empty());
       }
       BOOST_TEST(fixture.server_.IsClosedByClient());
     }
@@ -361,6 +362,7 @@
         fixture.RunUntilEnd(result);
         BOOST_REQUIRE(result->has_value());
         BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
+        BOOST_TEST((*result)->detail_ == "connection reset or timed out");
         (void)fixture.Send("b");
         BOOST_TEST(fixture.server_.AcceptedCount() == 2);
       }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -722,6 +722,33 @@
   }
 }
 
+// A broken exchange says nothing of whether the request ran, so one that may run once is not
+// repeated or reported as not run; its owner logs the cause with the id of the request.
+BOOST_AUTO_TEST_CASE(a_broken_exchange_is_unknown_and_logged_once_with_its_cause)
+{
+  FakeMesh mesh(33);
+  const auto nodes = StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 3 });
+  mesh.getBackendResult_ = [](const NodeAddress&) { return BackendResult::Broken; };
+  const auto id = mesh.Call(nodes.front(), "small", "POST", "/orders/1");
+  mesh.Run(std::chrono::seconds(3));
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Unknown));
+  BOOST_TEST((mesh.answers_.at(id).reason_ == Reason::ConnectionBroken));
+  BOOST_REQUIRE(mesh.backendRequests_.size() == 1U);
+  const auto request = " request=" + mesh.backendRequests_.front().requestId_ + " ";
+  int lines = 0;
+  for (const auto& node : nodes) {
+    for (const auto& line : mesh.GetLog(node)) {
+      if (line.find("event=exchange_broken") != std::string::npos) {
+        ++lines;
+        BOOST_TEST(line.find(request) != std::string::npos, line);
+        BOOST_TEST(line.find(" detail=\"bad status\"") != std::string::npos, line);
+      }
+    }
+  }
+  BOOST_TEST(lines == 1);
+}
+
 // A late response to the first attempt has the same request id as the second one, so the second one
 // needs another connection.
 BOOST_AUTO_TEST_CASE(a_second_attempt_at_the_same_instance_is_marked_as_repeated)
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -420,7 +420,8 @@
                                  .result_ = result,
                                  .status_ = 200,
                                  .headers_ = {},
-                                 .body_ = MakeBody("answer to " + ToString(id.call_)) };
+                                 .body_ = MakeBody("answer to " + ToString(id.call_)),
+                                 .detail_ = result == BackendResult::Broken ? "bad status" : "" };
     mesh_.DeliverToIncarnation(*this, [end](auto& aNode) { aNode.OnBackendEnd(end); });
   });
 }
