--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -25,7 +25,8 @@
 -- options: base (unique per scenario; fixes its loopback addresses), domains, vms (per domain),
 -- relays (routes traffic through the fake network), services (assigned to the VMs round robin),
 -- rate and burst (of each team), platform (further arguments of the fake platform), backend (further
--- arguments of the fake backend servers), platform_address_of (function from a VM to the address at
+-- arguments of the fake backend servers), backend_program (instead of the fake backend server),
+-- max_body_bytes (of the nodes), platform_address_of (function from a VM to the address at
 -- which its node reaches the platform), timeout_ms (of the keyed routes), drain_timeout_ms
 function new_mesh(options)
   local mesh = setmetatable({ options = options, vms = {}, version = 0, document = nil }, Mesh)
@@ -143,7 +144,7 @@
     platform = self.options.platform_address_of and self.options.platform_address_of(vm) or
                self.platform,
     seeds = #seeds > 0 and seeds or nil, peer_key = "a secret of all nodes",
-    max_body_bytes = 1048576, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
+    max_body_bytes = self.options.max_body_bytes or 1048576, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
   }
 end
 
@@ -154,7 +155,8 @@
 end
 
 function Mesh:start_backend(vm)
-  local command = { "standin-backend_server", "--listen", vm.backend, "--name", vm.server }
+  local command = { self.options.backend_program or "standin-backend_server",
+                    "--listen", vm.backend, "--name", vm.server }
   for _, argument in ipairs(self.options.backend or {}) do
     table.insert(command, argument)
   end
