--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -439,3 +439,20 @@
     }
   }
 }
+
+// A process that is killed while it receives a request looks the same.
+BOOST_AUTO_TEST_CASE(a_body_that_ends_with_its_stream_and_a_reset_is_broken)
+{
+  for (const auto& moment : MakeMoments()) {
+    BOOST_TEST_CONTEXT(moment)
+    {
+      Fixture fixture;
+      const auto result = Exchange(fixture, moment, kOk + "\r\npart");
+      fixture.server_.EndStream();
+      fixture.server_.ResetConnection();
+      fixture.RunUntilEnd(result);
+      BOOST_REQUIRE(result->has_value());
+      BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
+    }
+  }
+}
