Check replies between nodes before they are copied

The check read a copied Answer, whose const members cannot be moved, so each reply's fields were copied twice. It reads the message now; IsValidField takes views and is noexcept. peer_codec_test passes as before.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -418,7 +418,8 @@
     Fail(aConnection, HttpOutcome::Broken, DescribeEnd(parser, aOrderly && !isReset));
   }
 
-  static std::string_view DescribeEnd(const ResponseParser& aParser, bool aOrderly)
+  [[nodiscard]] static std::string_view DescribeEnd(const ResponseParser& aParser,
+                                                    bool aOrderly) noexcept
   {
     if (!aOrderly) {
       return "connection reset or timed out";
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -145,10 +145,27 @@
 /// Returns true if an answer can be passed on as an HTTP response. A node of an earlier release may
 /// have read one that cannot.
 bool
-IsValidAnswer(const Answer& aAnswer)
+IsValidAnswer(const wire::CallReply& aFrom)
 {
-  const bool hasStatus = aAnswer.outcome_ != Outcome::Answered || IsFinalStatus(aAnswer.status_);
-  return hasStatus && std::all_of(aAnswer.headers_.begin(), aAnswer.headers_.end(), IsValidField);
+  const bool isAnswered = aFrom.outcome() == static_cast<std::uint32_t>(Outcome::Answered);
+  return (!isAnswered || IsFinalStatus(aFrom.status())) &&
+         std::all_of(aFrom.headers().begin(), aFrom.headers().end(), [](const auto& aField) {
+           return IsValidField(aField.name(), aField.value());
+         });
+}
+
+Answer
+ReadAnswer(const wire::CallReply& aFrom)
+{
+  if (!IsValidAnswer(aFrom)) {
+    return Answer::WithoutContent(Outcome::Unknown, Reason::ConnectionBroken);
+  }
+  return { .outcome_ = static_cast<Outcome>(aFrom.outcome()),
+           .reason_ = static_cast<Reason>(aFrom.reason()),
+           .status_ = aFrom.status(),
+           .headers_ = ReadHeaders(aFrom.headers()),
+           .body_ = MakeBody(aFrom.body()),
+           .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
 }
 
 std::optional<Payload>
@@ -158,18 +175,9 @@
       aFrom.reason() > static_cast<std::uint32_t>(kLastReason)) {
     return std::nullopt;
   }
-  const Answer answer{ .outcome_ = static_cast<Outcome>(aFrom.outcome()),
-                       .reason_ = static_cast<Reason>(aFrom.reason()),
-                       .status_ = aFrom.status(),
-                       .headers_ = ReadHeaders(aFrom.headers()),
-                       .body_ = MakeBody(aFrom.body()),
-                       .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
   return CallReply{ .id_ = Read(aFrom.id()),
                     .attempt_ = aFrom.attempt(),
-                    .answer_ =
-                      IsValidAnswer(answer)
-                        ? answer
-                        : Answer::WithoutContent(Outcome::Unknown, Reason::ConnectionBroken),
+                    .answer_ = ReadAnswer(aFrom),
                     .loadReport_ = { aFrom.load(), aFrom.takes_work() },
                     .queueTime_ = FromMicroseconds(aFrom.queued_us()),
                     .instanceTime_ = FromMicroseconds(aFrom.ran_us()) };
--- a/src/adapters/request/http_message.cpp
+++ b/src/adapters/request/http_message.cpp
@@ -37,14 +37,13 @@
 } // namespace impl
 
 bool
-IsValidField(const HeaderField& aField)
+IsValidField(std::string_view aName, std::string_view aValue) noexcept
 {
   // A token is a list with itself as the only element.
-  const boost::beast::string_view name(aField.name_);
+  const boost::beast::string_view name(aName.data(), aName.size());
   const boost::beast::http::opt_token_list tokens(name);
   return boost::beast::http::validate_list(tokens) && tokens.begin() != tokens.end() &&
-         *tokens.begin() == name &&
-         std::none_of(aField.value_.begin(), aField.value_.end(), IsControlByte);
+         *tokens.begin() == name && std::none_of(aValue.begin(), aValue.end(), IsControlByte);
 }
 
 std::string_view
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -55,7 +55,7 @@
 /// \brief Returns true if a field may stand in a header: its name is a token, and its value has no
 /// control bytes.
 [[nodiscard]] bool
-IsValidField(const HeaderField& aField);
+IsValidField(std::string_view aName, std::string_view aValue) noexcept;
 
 /// \brief Finds the value of the first field of that lower-case name; empty if there is none.
 [[nodiscard]] std::string_view
