Tell control bytes apart where char is unsigned

A comparison of char with 0 is always true on arm64, where char is unsigned, and -Wextra reports it as an error. Found by reading; the build with -funsigned-char fails before this commit and passes after it.

--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -40,8 +40,9 @@
 [[nodiscard]] constexpr bool
 IsControlByte(char aByte) noexcept
 {
-  constexpr char kDelete = 0x7f;
-  return (aByte >= 0 && aByte < ' ' && aByte != '\t') || aByte == kDelete;
+  constexpr unsigned char kDelete = 0x7f;
+  const auto byte = static_cast<unsigned char>(aByte); // char is signed on some processors only
+  return (byte < ' ' && byte != '\t') || byte == kDelete;
 }
 
 /// \brief Returns true for a status with which a response ends an exchange: defined by HTTP (RFC
