--- a/tests/connection/platform_client_test.cpp
+++ b/tests/connection/platform_client_test.cpp
@@ -33,12 +33,7 @@
   PlatformClient<Protocol> client(
     fixture.client_, fixture.server_.Address(), [&](const ItemsRead& aRead) { read = aRead; });
   client.ReadItems("");
-  std::string received;
-  for (int i = 0; i < 100 && received.find("\r\n\r\n") == std::string::npos; ++i) {
-    fixture.RunLoop();
-    fixture.server_.Accept();
-    received += fixture.server_.Read();
-  }
+  (void)fixture.ReceiveHead();
   fixture.server_.Write(aResponse);
   if (aEnd != End::None) {
     aEnd == End::Reset ? fixture.server_.ResetConnection() : fixture.server_.CloseConnection();
--- a/tests/support/http_client_fixture.hpp
+++ b/tests/support/http_client_fixture.hpp
@@ -35,17 +35,26 @@
     last_ = client_.Start(server_.Address(), request, { "id", aId }, [result](const auto& aResult) {
       result->emplace(aResult);
     });
+    const auto received = ReceiveHead();
+    BOOST_REQUIRE(received.find("id: " + aId) != std::string::npos);
+    const auto body = received.find("\r\n\r\n");
+    BOOST_REQUIRE(body != std::string::npos);
+    receivedBodyBytes_ = received.size() - body - 4;
+    return result;
+  }
+
+  /// \brief Runs the loop until the server has read the head of a request, for half a second at
+  /// most.
+  /// \returns What the server has read.
+  std::string ReceiveHead()
+  {
     std::string received;
     for (int i = 0; i < 100 && received.find("\r\n\r\n") == std::string::npos; ++i) {
       RunLoop();
       server_.Accept();
       received += server_.Read();
     }
-    BOOST_REQUIRE(received.find("id: " + aId) != std::string::npos);
-    const auto body = received.find("\r\n\r\n");
-    BOOST_REQUIRE(body != std::string::npos);
-    receivedBodyBytes_ = received.size() - body - 4;
-    return result;
+    return received;
   }
 
   void RunLoop(int aTimes = 1)
