One test for interim statuses, and no check that Beast makes already

Cause: response_check had a copy of HttpClient's test for interim statuses, and looked for a length beside "chunked", which Boost.Beast refuses in either order; the state of a connection was polled also after a read that had failed.

Change: both use IsInterimStatus; the check of the length is gone, and so is the poll after a failed read. Behaviour is the same.

--- a/src/adapters/connection/http_client.cpp
+++ b/src/adapters/connection/http_client.cpp
@@ -379,7 +379,7 @@
 
   static bool IsInterim(const Connection& aConnection)
   {
-    return aConnection.parser_->get().result_int() / 100 == 1;
+    return IsInterimStatus(static_cast<int>(aConnection.parser_->get().result_int()));
   }
 
   static bool IsStaleResponse(const Connection& aConnection)
@@ -407,15 +407,15 @@
     }
     auto& parser = *aConnection->parser_;
     boost::system::error_code error;
-    const bool isReset = IsReset(h2o_socket_get_fd(aConnection->socket_));
-    if (aOrderly && !isReset && parser.is_header_done() && parser.need_eof()) {
+    const bool isInOrder = aOrderly && !IsReset(h2o_socket_get_fd(aConnection->socket_));
+    if (isInOrder && parser.is_header_done() && parser.need_eof()) {
       parser.put_eof(error);
       if (!error && parser.is_done() && !IsStaleResponse(*aConnection)) {
         Complete(aConnection);
         return;
       }
     }
-    Fail(aConnection, HttpOutcome::Broken, DescribeEnd(parser, aOrderly && !isReset));
+    Fail(aConnection, HttpOutcome::Broken, DescribeEnd(parser, isInOrder));
   }
 
   [[nodiscard]] static std::string_view DescribeEnd(const ResponseParser& aParser,
--- a/src/adapters/connection/response_check.cpp
+++ b/src/adapters/connection/response_check.cpp
@@ -16,18 +16,12 @@
 
 using Head = ResponseParser::value_type::header_type;
 
-bool
-IsInformational(const Head& aHead) noexcept
-{
-  return http::to_status_class(aHead.result_int()) == http::status_class::informational;
-}
-
 /// No request asks for another protocol, so the bytes after a 101 are of none that is known.
 bool
-HasValidStatus(const Head& aHead) noexcept
+IsValidStatus(int aStatus) noexcept
 {
-  return IsInformational(aHead) ? aHead.result() != http::status::switching_protocols
-                                : IsFinalStatus(static_cast<int>(aHead.result_int()));
+  constexpr int kSwitchingProtocols = 101;
+  return (IsInterimStatus(aStatus) && aStatus != kSwitchingProtocols) || IsFinalStatus(aStatus);
 }
 
 /// The request names no transfer codings, so a server may use only "chunked" (RFC 9112, 6.1).
@@ -43,14 +37,15 @@
                          std::distance(codings.begin(), codings.end()) == 1 &&
                          boost::beast::iequals(*codings.begin(), "chunked");
   constexpr unsigned kHttp11 = 11;
-  return isChunked && aHead.version() == kHttp11 && aHead.count(http::field::content_length) == 0;
+  return isChunked && aHead.version() == kHttp11;
 }
 
-/// Returns true if the response has no body whatever its fields say (RFC 9112, 6.3).
+/// Returns true if a response with this status has no body whatever its fields say (RFC 9112, 6.3).
 bool
-HasNoContent(const Head& aHead) noexcept
+HasNoContent(int aStatus) noexcept
 {
-  return IsInformational(aHead) || aHead.result() == http::status::no_content;
+  constexpr int kNoContent = 204;
+  return IsInterimStatus(aStatus) || aStatus == kNoContent;
 }
 
 /// A stated body that is not sent leaves open to which response the next bytes belong. Many servers
@@ -59,20 +54,21 @@
 StatesContent(const ResponseParser& aParser)
 {
   const auto length = aParser.content_length();
-  return aParser.get().count(http::field::transfer_encoding) > 0 || (length && *length > 0);
+  return aParser.chunked() || (length && *length > 0);
 }
 
 boost::system::error_code
 CheckHead(const ResponseParser& aParser)
 {
   const auto& head = aParser.get().base();
-  if (!HasValidStatus(head)) {
+  const auto status = static_cast<int>(head.result_int());
+  if (!IsValidStatus(status)) {
     return http::error::bad_status;
   }
   if (!HasValidTransferEncoding(head)) {
     return http::error::bad_transfer_encoding;
   }
-  if (HasNoContent(head) && StatesContent(aParser)) {
+  if (HasNoContent(status) && StatesContent(aParser)) {
     return http::error::bad_content_length;
   }
   return {};
--- a/src/adapters/request/http_message.hpp
+++ b/src/adapters/request/http_message.hpp
@@ -45,6 +45,13 @@
   return (byte < ' ' && byte != '\t') || byte == kDelete;
 }
 
+/// \brief Returns true for the status of an interim response, which others follow (RFC 9110, 15.2).
+[[nodiscard]] constexpr bool
+IsInterimStatus(int aStatus) noexcept
+{
+  return aStatus >= 100 && aStatus <= 199;
+}
+
 /// \brief Returns true for a status with which a response ends an exchange: defined by HTTP (RFC
 /// 9110, 15) and not interim.
 [[nodiscard]] constexpr bool
