Tests: wait for the packets of a reset; drop unused includes

Cause: the test of a reset behind the end of a stream took for granted that both have arrived when the client reads, which a busy kernel need not have done; it has not failed. raw_server included headers that it does not use.

Change: the test sleeps 5 ms before the client reads. No assertion changed.

--- a/tests/connection/http_client_broken_test.cpp
+++ b/tests/connection/http_client_broken_test.cpp
@@ -3,10 +3,12 @@
 
 #include <boost/test/included/unit_test.hpp>
 #include <cctype>
+#include <chrono>
 #include <initializer_list>
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace geraniumpin;
@@ -450,6 +452,7 @@
       const auto result = Exchange(fixture, moment, kOk + "\r\npart");
       fixture.server_.EndStream();
       fixture.server_.ResetConnection();
+      std::this_thread::sleep_for(std::chrono::milliseconds(5)); // until both have arrived
       fixture.RunUntilEnd(result);
       BOOST_REQUIRE(result->has_value());
       BOOST_TEST(((*result)->outcome_ == HttpOutcome::Broken));
--- a/tests/standins/raw_server.cpp
+++ b/tests/standins/raw_server.cpp
@@ -14,12 +14,12 @@
 #include "geraniumpin/version/node_address.hpp"
 
 #include <CLI/CLI.hpp>
-#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <iterator>
 #include <list>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
 #include <sys/socket.h>
