--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -21,6 +22,17 @@
   Users ///< those of the users' platform, see docs/PLATFORM.md
 };
 
+/// \brief Limits of the machine on which a node runs; 0: unknown.
+struct MachineLimits
+{
+  std::size_t memoryBytes_ = 0;         ///< above which the process is killed
+  std::size_t maxDescriptors_ = 0;      ///< that the process may have open
+  std::uint64_t linkBitsPerSecond_ = 0; ///< of the link, in each direction
+  double processorShare_ = 0;           ///< cores that the process may use
+
+  auto operator<=>(const MachineLimits&) const = default;
+};
+
 /// \brief Settings of a node process; built by SettingsBuilder.
 class Settings
 {
@@ -86,6 +98,8 @@
   {
     return platformBounds_;
   }
+  /// \brief Limits of the machine, as the platform states them.
+  [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
   /// \brief Longest time that a planned stop waits for running requests.
   [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
 
@@ -122,6 +136,7 @@
   std::chrono::milliseconds contactBound_ = kDefaultContactBound;
   double retryRatio_ = RetryBudget::kRetriesPerRequest;
   std::vector<std::string> platformBounds_;
+  MachineLimits machine_;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -179,6 +194,7 @@
   SettingsBuilder& ContactBound(std::chrono::milliseconds aBound);
   SettingsBuilder& RetryRatio(double aRatio);
   SettingsBuilder& PlatformBounds(std::vector<std::string> aBounds);
+  SettingsBuilder& Machine(const MachineLimits& aLimits);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -39,6 +39,10 @@
     "contact_bound_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
     "retry_ratio": { "type": "number", "minimum": 0, "maximum": 1 },
     "platform_bounds": { "type": "array", "items": { "type": "string" } },
+    "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
+    "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
+    "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
+    "processor_share": { "type": "number", "minimum": 0, "maximum": 1024 },
     "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
   }
 })json";
@@ -70,6 +74,18 @@
   Faults faults_;
 };
 
+MachineLimits
+ReadMachineLimits(const nlohmann::json& aRoot)
+{
+  constexpr std::size_t kMegabyte = 1U << 20U;
+  constexpr double kMegabit = 1e6;
+  return { .memoryBytes_ = aRoot.value("memory_mb", std::size_t{ 0 }) * kMegabyte,
+           .maxDescriptors_ = aRoot.value("max_descriptors", std::size_t{ 0 }),
+           .linkBitsPerSecond_ =
+             static_cast<std::uint64_t>(aRoot.value("link_mbps", 0.0) * kMegabit),
+           .processorShare_ = aRoot.value("processor_share", 0.0) };
+}
+
 SettingsBuilder
 MakeSettingsBuilder(const std::string& aSource, const nlohmann::json& aRoot, AddressReader& aReader)
 {
@@ -118,7 +134,8 @@
     builder.ContactBound(std::chrono::milliseconds(aRoot.at("contact_bound_ms")));
   }
   builder.RetryRatio(aRoot.value("retry_ratio", RetryBudget::kRetriesPerRequest))
-    .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}));
+    .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}))
+    .Machine(ReadMachineLimits(aRoot));
   return builder;
 }
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -195,6 +195,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::Machine(const MachineLimits& aLimits)
+{
+  settings_.machine_ = aLimits;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
