Messages: optional fields for the capacity of owners and the callers of requests

Cause: an entry node learns from a reply only the load of one instance, so it cannot tell that a service is full, and an owner cannot tell the callers of an entry node apart. Change: replies may state the admitted rank and share, the time until there is capacity, the saturation of the node and the services that a route calls; requests may state a hash of the caller, an early return and that they belong to a retried execution. All are optional, and nothing sets or uses them yet. Result: peer_codec_test reads them back, and reads replies without them as replies that state no capacity.

--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/process/clock.hpp"
+#include "geraniumpin/process/owner_room.hpp"
 #include "geraniumpin/request/call.hpp"
 #include "geraniumpin/request/instance_choice.hpp"
 #include "geraniumpin/version/version_store.hpp"
@@ -33,6 +34,11 @@
   const std::string idempotencyKey_;
   const Duration remaining_{};    ///< time until the deadline when the message was sent
   const Duration queueTimeout_{}; ///< longest wait in the owner's queue
+  const std::uint64_t caller_ =
+    0; ///< hash that distinguishes callers of the entry node; 0: unknown
+  const bool returnedEarly_ =
+    false;                      ///< the caller returned before the Retry-After that it was given
+  const bool isRepeat_ = false; ///< a call of an execution that is itself a retry
 };
 
 /// \brief Owner node to entry node: result of an attempt, with the load of the instance.
@@ -42,8 +48,10 @@
   const std::uint32_t attempt_ = 0;
   const Answer answer_;
   const LoadReport loadReport_;
-  const Duration queueTime_{};    ///< time in the owner's queue
-  const Duration instanceTime_{}; ///< time at the instance
+  const Duration queueTime_{};                ///< time in the owner's queue
+  const Duration instanceTime_{};             ///< time at the instance
+  const std::optional<OwnerRoom> room_{};     ///< nothing: the owner states none
+  const std::vector<CalledService> called_{}; ///< by executions of the route of the request
 };
 
 /// \brief Entry node to owner node: the result of this attempt is no longer needed.
--- a/include/geraniumpin/request/instance_choice.hpp
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -13,6 +13,7 @@
 {
   double load_ = 0; ///< running and queued requests as a share of the concurrency limit
   bool acceptsWork_ = true;
+  double saturation_ = 0; ///< of the owner node, 0 to 1
 
   auto operator<=>(const LoadReport&) const = default;
 };
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -4,6 +4,7 @@
 #include "generated/peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -21,6 +22,13 @@
   return std::chrono::microseconds(aValue);
 }
 
+/// A share that is no number counts as 0.
+double
+ReadShare(double aValue) noexcept
+{
+  return aValue > 0 ? std::min(aValue, 1.0) : 0;
+}
+
 std::string
 EncodeDigest(const Digest& aDigest)
 {
@@ -99,6 +107,9 @@
   to.set_idempotency_key(aFrom.idempotencyKey_);
   to.set_remaining_us(Microseconds(aFrom.remaining_));
   to.set_patience_us(Microseconds(aFrom.queueTimeout_));
+  to.set_caller(aFrom.caller_);
+  to.set_returned_early(aFrom.returnedEarly_);
+  to.set_is_repeat(aFrom.isRepeat_);
 }
 
 Payload
@@ -119,7 +130,10 @@
                       .body_ = MakeBody(aFrom.body()),
                       .idempotencyKey_ = aFrom.idempotency_key(),
                       .remaining_ = FromMicroseconds(aFrom.remaining_us()),
-                      .queueTimeout_ = FromMicroseconds(aFrom.patience_us()) };
+                      .queueTimeout_ = FromMicroseconds(aFrom.patience_us()),
+                      .caller_ = aFrom.caller(),
+                      .returnedEarly_ = aFrom.returned_early(),
+                      .isRepeat_ = aFrom.is_repeat() };
 }
 
 void
@@ -140,6 +154,17 @@
   to.set_ran_us(Microseconds(aFrom.instanceTime_));
   to.set_load(aFrom.loadReport_.load_);
   to.set_takes_work(aFrom.loadReport_.acceptsWork_);
+  to.set_saturation(aFrom.loadReport_.saturation_);
+  if (aFrom.room_) {
+    to.set_admitted_rank(aFrom.room_->admittedRank_);
+    to.set_admitted_share(aFrom.room_->admittedShare_);
+    to.set_room_after_us(Microseconds(aFrom.room_->roomAfter_));
+  }
+  for (const auto& called : aFrom.called_) {
+    auto* item = to.add_called();
+    item->set_service(called.service_);
+    item->set_calls_per_run(called.callsPerRun_);
+  }
 }
 
 /// Returns true if an answer can be passed on as an HTTP response. A node of an earlier release may
@@ -168,6 +193,29 @@
            .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
 }
 
+std::optional<OwnerRoom>
+ReadRoom(const wire::CallReply& aFrom)
+{
+  if (!aFrom.has_admitted_rank()) {
+    return std::nullopt;
+  }
+  return OwnerRoom{ .admittedRank_ = aFrom.admitted_rank(),
+                    .admittedShare_ = ReadShare(aFrom.admitted_share()),
+                    .roomAfter_ = FromMicroseconds(aFrom.room_after_us()) };
+}
+
+std::vector<CalledService>
+ReadCalled(const wire::CallReply& aFrom)
+{
+  std::vector<CalledService> called;
+  for (const auto& item : aFrom.called()) {
+    if (std::isfinite(item.calls_per_run()) && item.calls_per_run() >= 0) {
+      called.push_back({ item.service(), item.calls_per_run() });
+    }
+  }
+  return called;
+}
+
 std::optional<Payload>
 Read(const wire::CallReply& aFrom)
 {
@@ -175,12 +223,16 @@
       aFrom.reason() > static_cast<std::uint32_t>(kLastReason)) {
     return std::nullopt;
   }
-  return CallReply{ .id_ = Read(aFrom.id()),
-                    .attempt_ = aFrom.attempt(),
-                    .answer_ = ReadAnswer(aFrom),
-                    .loadReport_ = { aFrom.load(), aFrom.takes_work() },
-                    .queueTime_ = FromMicroseconds(aFrom.queued_us()),
-                    .instanceTime_ = FromMicroseconds(aFrom.ran_us()) };
+  return CallReply{
+    .id_ = Read(aFrom.id()),
+    .attempt_ = aFrom.attempt(),
+    .answer_ = ReadAnswer(aFrom),
+    .loadReport_ = { aFrom.load(), aFrom.takes_work(), ReadShare(aFrom.saturation()) },
+    .queueTime_ = FromMicroseconds(aFrom.queued_us()),
+    .instanceTime_ = FromMicroseconds(aFrom.ran_us()),
+    .room_ = ReadRoom(aFrom),
+    .called_ = ReadCalled(aFrom)
+  };
 }
 
 void
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -85,6 +85,39 @@
   BOOST_TEST(!DecodeEnvelope(EncodeEnvelope(Wrap(LinkAck{})))->link_);
 }
 
+// Guards against a node of an earlier release, which states no capacity, being taken for a full
+// one.
+BOOST_AUTO_TEST_CASE(a_stated_capacity_is_read_back_and_may_be_absent)
+{
+  const OwnerRoom room{ .admittedRank_ = 3, .admittedShare_ = 0.25, .roomAfter_ = milliseconds(7) };
+  const std::vector<CalledService> called{ { "booking", 1.4 } };
+  const CallReply reply{
+    .id_ = { 1, 2 }, .loadReport_ = { 0.5, true, 0.75 }, .room_ = room, .called_ = called
+  };
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(Wrap(reply)));
+  BOOST_REQUIRE(decoded);
+  const auto& read = std::get<CallReply>(decoded->payload_);
+  BOOST_TEST((read.room_ == room));
+  BOOST_TEST((read.called_ == called));
+  BOOST_TEST(read.loadReport_.saturation_ == 0.75);
+  const auto older = DecodeEnvelope(EncodeEnvelope(Wrap(CallReply{ .id_ = { 1, 2 } })));
+  BOOST_REQUIRE(older);
+  BOOST_TEST(!std::get<CallReply>(older->payload_).room_.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_caller_of_a_request_is_read_back)
+{
+  const CallRequest request{
+    .id_ = { 1, 2 }, .caller_ = 9, .returnedEarly_ = true, .isRepeat_ = true
+  };
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(Wrap(request)));
+  BOOST_REQUIRE(decoded);
+  const auto& read = std::get<CallRequest>(decoded->payload_);
+  BOOST_TEST(read.caller_ == 9);
+  BOOST_TEST(read.returnedEarly_);
+  BOOST_TEST(read.isRepeat_);
+}
+
 BOOST_AUTO_TEST_CASE(damaged_messages_are_refused_or_read_without_harm)
 {
   std::mt19937_64 random(1);
