Without teams, requests wait by their target and calls are found by their entry nodes

Cause: without teams all routes are open, and open routes counted as those of calls. Each request waited for up to half of its remaining time (750 ms with a target of 500 ms), so that all answers of a busy service were late, and calls had the same rank as new requests, so that started requests failed by their calls. Change: without teams, requests wait by their target latency and rank behind calls. The owner finds the routes of calls: those whose requests only come from nodes of some services. Documents with teams are served as before.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -356,17 +356,25 @@
                                .body_ = call.body_,
                                .idempotencyKey_ = call.idempotencyKey_,
                                .remaining_ = remaining,
-                               .queueTimeout_ = ComputeQueueTimeout(
-                                 aCall.decision_.route_, now - call.arrivedAt_, remaining) });
+                               .queueTimeout_ = ComputeQueueTimeout(aCall.decision_.route_,
+                                                                    HasTeams(aCall.decision_),
+                                                                    now - call.arrivedAt_,
+                                                                    remaining) });
+  }
+
+  [[nodiscard]] static bool HasTeams(const RouteDecision& aDecision)
+  {
+    return !aDecision.snapshot_->Teams().empty();
   }
 
   /// Calls of backend servers rank first, since their refusal fails the parent request; then the
-  /// team's priority decides, then the route's.
+  /// team's priority decides, then the route's. Without teams the owner finds the calls.
   [[nodiscard]] static std::uint32_t ComputeRank(const RouteDecision& aDecision)
   {
     const auto* team = aDecision.snapshot_->FindTeam(aDecision.team_);
-    const auto teamRank = team == nullptr ? 0 : (team->priority_ + 1) * kRanksPerTeamPriority;
-    return teamRank + aDecision.route_.priority_;
+    const bool isCall = team == nullptr && HasTeams(aDecision);
+    const auto priority = team == nullptr ? 0 : team->priority_;
+    return (isCall ? 0 : (priority + 1) * kRanksPerTeamPriority) + aDecision.route_.priority_;
   }
 
   [[nodiscard]] const BackendServer* SelectInstance(EntryCall& aCall)
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "geraniumpin/process/admission.hpp"
+#include "geraniumpin/process/call_routes.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/failure_breaker.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
+#include "geraniumpin/request/queue_timeout.hpp"
 
 #include <algorithm>
 #include <map>
@@ -48,6 +50,7 @@
   /// service.
   void OnSnapshot(const Snapshot& aSnapshot)
   {
+    UpdateCallRoutes(aSnapshot);
     const auto placement = aSnapshot.FindPlacement(context_.Self());
     if (!placement) {
       if (!service_.empty()) {
@@ -352,15 +355,20 @@
   {
     const auto now = context_.Now();
     const auto deadline = now + aRequest.remaining_ - aDelay;
-    const auto queueTimeout = std::max(Duration{}, aRequest.queueTimeout_ - aDelay);
+    const bool isCall = IsCallWithoutTeams(aEntry, aRequest);
+    const auto rank = isCall ? 0 : aRequest.rank_;
+    const auto stated =
+      isCall ? std::max(aRequest.queueTimeout_, ComputeCallQueueTimeout(aRequest.remaining_))
+             : aRequest.queueTimeout_;
+    const auto queueTimeout = std::max(Duration{}, stated - aDelay);
     const QueuedWork<AttemptId> work{
       aId,      aRequest.team_, ExpectedServiceTime(aRequest.route_),
-      deadline, aRequest.rank_, std::min(deadline, now + queueTimeout)
+      deadline, rank,           std::min(deadline, now + queueTimeout)
     };
     const auto admitted = admission_.Admit(work, now);
     WriteAdmission(aId, aRequest, admitted, aDelay);
     if (!admitted) {
-      const auto retryAfter = admission_.RetryAfter(aRequest.rank_, now);
+      const auto retryAfter = admission_.RetryAfter(rank, now);
       Reply(aEntry, aId, Answer::WithoutContent(Outcome::NotRun, admitted.error(), retryAfter));
       return;
     }
@@ -370,6 +378,26 @@
     }
   }
 
+  /// Without teams, an entry node cannot tell the calls of its backend server from the requests of
+  /// its callers.
+  [[nodiscard]] bool IsCallWithoutTeams(const NodeAddress& aEntry, const CallRequest& aRequest)
+  {
+    if (hasTeams_) {
+      return false;
+    }
+    callRoutes_.Record(aRequest.route_, aEntry);
+    return callRoutes_.IsCallRoute(aRequest.route_);
+  }
+
+  void UpdateCallRoutes(const Snapshot& aSnapshot)
+  {
+    hasTeams_ = !aSnapshot.Teams().empty();
+    if (!hasTeams_) {
+      callRoutes_.SetNodes(
+        FindNodeServices(aSnapshot, context_.NodeSettings().FailureDomainName()));
+    }
+  }
+
   void Start(const AttemptId& aId)
   {
     auto& attempt = attempts_.at(aId);
@@ -594,6 +622,8 @@
   /// Set while another instance seems to have the address; until then no request is sent to it.
   std::optional<TimePoint> replacedUntil_;
   FailureBreaker breaker_;
+  CallRoutes callRoutes_;
+  bool hasTeams_ = true; ///< of the document; true before the first one
   Duration coldTime_ = kDefaultColdTime;
   std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
--- a/include/geraniumpin/request/queue_timeout.hpp
+++ b/include/geraniumpin/request/queue_timeout.hpp
@@ -21,11 +21,20 @@
 /// \brief Minimum queue timeout, for requests whose share is used up when they reach the owner.
 inline constexpr std::chrono::milliseconds kMinQueueTimeout{ 5 };
 
+/// \brief Computes the longest wait of a call of a backend server in its owner's queue.
+/// \param aRemaining Time until its deadline.
+[[nodiscard]] Duration
+ComputeCallQueueTimeout(Duration aRemaining) noexcept;
+
 /// \brief Computes the longest wait of a request in its owner's queue.
-/// \param aRoute Open routes carry the calls of backend servers.
+/// \param aHasTeams True if the document has teams: its open routes then carry the calls of backend
+/// servers. Without teams all routes are open, and the owner finds those of calls (CallRoutes).
 /// \param aElapsed Time since the request arrived at its entry node.
 /// \param aRemaining Time until its deadline.
 [[nodiscard]] Duration
-ComputeQueueTimeout(const Route& aRoute, Duration aElapsed, Duration aRemaining) noexcept;
+ComputeQueueTimeout(const Route& aRoute,
+                    bool aHasTeams,
+                    Duration aElapsed,
+                    Duration aRemaining) noexcept;
 
 } // namespace geraniumpin
--- a/src/request/queue_timeout.cpp
+++ b/src/request/queue_timeout.cpp
@@ -5,10 +5,19 @@
 namespace geraniumpin {
 
 Duration
-ComputeQueueTimeout(const Route& aRoute, Duration aElapsed, Duration aRemaining) noexcept
+ComputeCallQueueTimeout(Duration aRemaining) noexcept
 {
-  if (aRoute.access_ == Access::Open) {
-    return std::chrono::duration_cast<Duration>(aRemaining * kQueueShareOfRemaining);
+  return std::chrono::duration_cast<Duration>(aRemaining * kQueueShareOfRemaining);
+}
+
+Duration
+ComputeQueueTimeout(const Route& aRoute,
+                    bool aHasTeams,
+                    Duration aElapsed,
+                    Duration aRemaining) noexcept
+{
+  if (aRoute.access_ == Access::Open && aHasTeams) {
+    return ComputeCallQueueTimeout(aRemaining);
   }
   const auto target = aRoute.targetLatency_.count() > 0 ? aRoute.targetLatency_ : aRoute.timeout_;
   const auto budget = std::chrono::duration_cast<Duration>(target * kQueueShareOfTarget);
--- a/tests/request/destination_choice_test.cpp
+++ b/tests/request/destination_choice_test.cpp
@@ -49,10 +49,24 @@
 BOOST_AUTO_TEST_CASE(the_queue_timeout_is_a_share_of_the_target_less_the_elapsed_time)
 {
   const Route keyed{ .timeout_ = milliseconds(1000), .targetLatency_ = milliseconds(200) };
-  BOOST_TEST((ComputeQueueTimeout(keyed, {}, milliseconds(500)) == milliseconds(60)));
-  BOOST_TEST((ComputeQueueTimeout(keyed, milliseconds(20), milliseconds(500)) == milliseconds(40)));
-  BOOST_TEST((ComputeQueueTimeout(keyed, milliseconds(90), milliseconds(500)) == kMinQueueTimeout));
-  BOOST_TEST((ComputeQueueTimeout(keyed, {}, milliseconds(2)) == milliseconds(2)));
+  BOOST_TEST((ComputeQueueTimeout(keyed, true, {}, milliseconds(500)) == milliseconds(60)));
+  BOOST_TEST(
+    (ComputeQueueTimeout(keyed, true, milliseconds(20), milliseconds(500)) == milliseconds(40)));
+  BOOST_TEST(
+    (ComputeQueueTimeout(keyed, true, milliseconds(90), milliseconds(500)) == kMinQueueTimeout));
+  BOOST_TEST((ComputeQueueTimeout(keyed, true, {}, milliseconds(2)) == milliseconds(2)));
   const Route open{ .access_ = Access::Open, .timeout_ = milliseconds(200) };
-  BOOST_TEST((ComputeQueueTimeout(open, {}, milliseconds(100)) == milliseconds(50)));
+  BOOST_TEST((ComputeQueueTimeout(open, true, {}, milliseconds(100)) == milliseconds(50)));
+  BOOST_TEST((ComputeCallQueueTimeout(milliseconds(100)) == milliseconds(50)));
+}
+
+// Load pattern "demand beyond capacity without teams": all routes are open there, and each request
+// waited for half of its deadline, 750 ms with a target of 500 ms, so that all answers were late.
+BOOST_AUTO_TEST_CASE(without_teams_requests_of_open_routes_wait_by_their_target)
+{
+  const Route open{ .access_ = Access::Open,
+                    .timeout_ = milliseconds(1500),
+                    .targetLatency_ = milliseconds(500) };
+  BOOST_TEST((ComputeQueueTimeout(open, false, {}, milliseconds(1500)) == milliseconds(150)));
+  BOOST_TEST((ComputeQueueTimeout(open, true, {}, milliseconds(1500)) == milliseconds(750)));
 }
