Balancing by expected completion, and spill-over of the excess

Cause: instances were compared by the sum of load and share of the target, so an idle slow instance was preferred to a fast one although it answers three times as late, and a failure domain spilled over as a whole at a mean load of 0.9. Change: with balancing=completion, candidates are compared by expected completion (wait, service time of the route, deviation, saturation of the owner), a slow period of an instance counts as load, and SpillOver computes the share of the requests that leaves the failure domain, small ones first. The default compares as before.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -50,6 +50,7 @@
     : context_(aContext)
     , limits_(aLimits)
     , tokens_(aTokens)
+    , loadTable_(aContext.NodeSettings().BalancingMode())
   {
   }
 
@@ -396,9 +397,14 @@
         return !aCall.instances_.contains(aCandidate.backendServer_->name_);
       });
     }
-    const auto preferred = loadTable_.PreferLocalFailureDomain(aCall.service_, candidates);
     const auto bodyBytes = aCall.call_.body_ ? aCall.call_.body_->size() : 0;
-    const auto* chosen = ChooseInstance(preferred, bodyBytes, context_.Ports().random_);
+    const auto choice = loadTable_.Choose(aCall.service_,
+                                          candidates,
+                                          bodyBytes,
+                                          aCall.attempts_ > 0,
+                                          context_.Now(),
+                                          context_.Ports().random_);
+    const auto* chosen = choice.chosen_;
     context_.Write(LogEvent("route", Severity::Routine)
                      .With("call", ToString(aCall.call_.id_))
                      .With("request", aCall.call_.requestId_)
@@ -408,8 +414,9 @@
                      .With("route", decision.route_.name_)
                      .With("waited_us", Microseconds(context_.Now() - aCall.call_.arrivedAt_))
                      .With("remaining_us", Microseconds(aCall.deadline_ - context_.Now()))
-                     .With("candidates", preferred.size())
+                     .With("candidates", choice.candidates_)
                      .With("of", candidates.size())
+                     .With("spill_share", choice.spillOverShare_)
                      .With("chosen", chosen == nullptr ? "none" : chosen->name_)
                      .With("reason", chosen == nullptr ? "no_instance" : "less_loaded_of_two"));
     return chosen;
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -5,6 +5,7 @@
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/failure_breaker.hpp"
 #include "geraniumpin/process/node_context.hpp"
+#include "geraniumpin/process/pace_monitor.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
 #include "geraniumpin/request/queue_timeout.hpp"
 
@@ -78,6 +79,7 @@
     if (instanceChanged) {
       replacedUntil_.reset();
       breaker_ = {};
+      pace_ = {};
       instanceSince_ = context_.Now();
       admission_.Restart(InstanceController::Make(server.slots_ > 0), slots);
       if (!server.cold_) {
@@ -465,6 +467,7 @@
       auto& serviceTime = serviceTimes_[route];
       const auto elapsed = context_.Now() - found->second.startedAt_;
       serviceTime = serviceTime == Duration{} ? elapsed : (serviceTime * 7 + elapsed) / 8;
+      pace_.Record(route, elapsed, now);
     }
     running_.erase({ found->second.deadline_, aId });
     tokens_.Revoke(aId);
@@ -485,11 +488,19 @@
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
                              .answer_ = aAnswer,
-                             .loadReport_ = { admission_.Load(context_.Now()), acceptsWork },
+                             .loadReport_ = { ComputeLoad(), acceptsWork },
                              .queueTime_ = aQueued,
                              .instanceTime_ = aRan });
   }
 
+  /// With Balancing::Completion, a slow period of the instance counts as load.
+  [[nodiscard]] double ComputeLoad() const
+  {
+    const auto now = context_.Now();
+    const bool countsPace = context_.NodeSettings().BalancingMode() == Balancing::Completion;
+    return admission_.Load(now) * (countsPace ? pace_.Factor(now) : 1);
+  }
+
   void RecordFinished(const AttemptId& aId)
   {
     if (finished_.insert(aId).second) {
@@ -624,6 +635,7 @@
   FailureBreaker breaker_;
   CallRoutes callRoutes_;
   bool hasTeams_ = true; ///< of the document; true before the first one
+  PaceMonitor pace_;
   Duration coldTime_ = kDefaultColdTime;
   std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -22,6 +22,13 @@
   Users ///< those of the users' platform, see docs/PLATFORM.md
 };
 
+/// \brief How an entry node compares instances and sends requests to other failure domains.
+enum class Balancing
+{
+  Load,      ///< by load and share of the target; a service spills over as a whole
+  Completion ///< by expected completion; the excess of a service spills over
+};
+
 /// \brief Limits of the machine on which a node runs; 0: unknown.
 struct MachineLimits
 {
@@ -98,6 +105,7 @@
   {
     return platformBounds_;
   }
+  [[nodiscard]] Balancing BalancingMode() const noexcept { return balancing_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
   /// \brief Longest time that a planned stop waits for running requests.
@@ -137,6 +145,7 @@
   double retryRatio_ = RetryBudget::kRetriesPerRequest;
   std::vector<std::string> platformBounds_;
   MachineLimits machine_;
+  Balancing balancing_ = Balancing::Load;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -195,6 +204,7 @@
   SettingsBuilder& RetryRatio(double aRatio);
   SettingsBuilder& PlatformBounds(std::vector<std::string> aBounds);
   SettingsBuilder& Machine(const MachineLimits& aLimits);
+  SettingsBuilder& BalancingMode(Balancing aBalancing);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/include/geraniumpin/request/instance_choice.hpp
+++ b/include/geraniumpin/request/instance_choice.hpp
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "geraniumpin/process/clock.hpp"
 #include "geraniumpin/process/random.hpp"
 #include "geraniumpin/version/document.hpp"
 
+#include <chrono>
+#include <concepts>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -23,8 +27,45 @@
 {
   const BackendServer* backendServer_ = nullptr;
   LoadReport loadReport_;
-  bool local_ = false;          ///< in the failure domain of the entry node
-  double serviceTimeShare_ = 0; ///< expected service time divided by the target latency
+  bool local_ = false;            ///< in the failure domain of the entry node
+  double serviceTimeShare_ = 0;   ///< expected service time divided by the target latency
+  Duration expectedCompletion_{}; ///< time until the response, if it is sent there now
+  std::uint32_t slots_ = 0;       ///< concurrent requests that the instance can run
+  bool isReportRecent_ = false;   ///< the load rests on a recent report
+};
+
+/// \brief Orders the candidates of a request: the one with the lowest score is preferred.
+template<class S>
+concept CandidateScore = requires(const S& aScore, const Candidate& aCandidate)
+{
+  {
+    aScore(aCandidate)
+    } -> std::convertible_to<double>;
+};
+
+/// \brief Scores a candidate by the sum of load and service time share.
+///
+/// The service time share is for the load pattern "slow instance": instances of a service differ in
+/// speed, and at equal load of their slots the slow ones would answer too late.
+struct LoadScore
+{
+  [[nodiscard]] double operator()(const Candidate& aCandidate) const noexcept
+  {
+    return aCandidate.loadReport_.load_ + aCandidate.serviceTimeShare_;
+  }
+};
+
+/// \brief Scores a candidate by its expected completion.
+///
+/// Saturation of the owner node delays the messages of the request in both directions, so it
+/// multiplies the expected time.
+struct CompletionScore
+{
+  [[nodiscard]] double operator()(const Candidate& aCandidate) const noexcept
+  {
+    const std::chrono::duration<double> expected = aCandidate.expectedCompletion_;
+    return expected.count() * (1 + aCandidate.loadReport_.saturation_);
+  }
 };
 
 /// \brief Average load above which requests spill over to other failure domains.
@@ -46,6 +87,11 @@
 [[nodiscard]] std::vector<Candidate>
 FilterLocal(const std::vector<Candidate>& aCandidates, bool aSpilling);
 
+/// \brief Returns the candidates of the local failure domain, or those of the others; all
+/// candidates if there are none of these.
+[[nodiscard]] std::vector<Candidate>
+FilterByFailureDomain(const std::vector<Candidate>& aCandidates, bool aLocal);
+
 /// \brief Load by which a remote instance must be below a local one to be chosen.
 inline constexpr double kRemotePenalty = 0.3;
 
@@ -55,13 +101,9 @@
 /// \brief Minimum size of a large body, in bytes.
 inline constexpr std::size_t kLargeBodyBytes = 16384;
 
-/// \brief Draws two different candidates and returns the one with the lower sum of load and service
-/// time share.
-///
-/// The service time share is for the load pattern "slow instance": instances of a service differ in
-/// speed, and at equal load of their slots the slow ones would answer too late.
+/// \brief Draws two different candidates and returns the one with the lower score.
 /// \returns Null if there is no candidate.
-template<Random R>
+template<CandidateScore Score = LoadScore, Random R>
 [[nodiscard]] const Candidate*
 ChooseLessLoaded(const std::vector<const Candidate*>& aCandidates, R& aRandom)
 {
@@ -74,10 +116,8 @@
   }
   const auto offset = 1 + DrawIndex(aRandom, aCandidates.size() - 1);
   const auto second = (first + offset) % aCandidates.size();
-  const auto score = [&](std::size_t aIndex) {
-    return aCandidates[aIndex]->loadReport_.load_ + aCandidates[aIndex]->serviceTimeShare_;
-  };
-  const bool firstIsLessLoaded = score(first) <= score(second);
+  const Score score;
+  const bool firstIsLessLoaded = score(*aCandidates[first]) <= score(*aCandidates[second]);
   return aCandidates[firstIsLessLoaded ? first : second];
 }
 
@@ -85,7 +125,7 @@
 /// if its load is lower by more than the remote penalty.
 /// \param aBodyBytes Size of the request body; selects the penalty.
 /// \returns Null if there is no candidate.
-template<Random R>
+template<CandidateScore Score = LoadScore, Random R>
 [[nodiscard]] const BackendServer*
 ChooseInstance(const std::vector<Candidate>& aCandidates, std::size_t aBodyBytes, R& aRandom)
 {
@@ -94,8 +134,8 @@
   for (const auto& candidate : aCandidates) {
     (candidate.local_ ? local : remote).push_back(&candidate);
   }
-  const auto* bestLocal = ChooseLessLoaded(local, aRandom);
-  const auto* bestRemote = ChooseLessLoaded(remote, aRandom);
+  const auto* bestLocal = ChooseLessLoaded<Score>(local, aRandom);
+  const auto* bestRemote = ChooseLessLoaded<Score>(remote, aRandom);
   if (bestLocal == nullptr || bestRemote == nullptr) {
     const auto* only = bestLocal == nullptr ? bestRemote : bestLocal;
     return only == nullptr ? nullptr : only->backendServer_;
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -39,6 +39,7 @@
     "contact_bound_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
     "retry_ratio": { "type": "number", "minimum": 0, "maximum": 1 },
     "platform_bounds": { "type": "array", "items": { "type": "string" } },
+    "balancing": { "type": "string", "enum": ["load", "completion"] },
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -135,7 +136,9 @@
   }
   builder.RetryRatio(aRoot.value("retry_ratio", RetryBudget::kRetriesPerRequest))
     .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}))
-    .Machine(ReadMachineLimits(aRoot));
+    .Machine(ReadMachineLimits(aRoot))
+    .BalancingMode(aRoot.value("balancing", "load") == "completion" ? Balancing::Completion
+                                                                    : Balancing::Load);
   return builder;
 }
 
--- a/src/process/instance_load_table.cpp
+++ b/src/process/instance_load_table.cpp
@@ -25,13 +25,18 @@
 void
 InstanceLoadTable::OnServed(const NodeAddress& aNode, const std::string& aRoute, Duration aElapsed)
 {
-  auto& serviceTimes = entries_[aNode].serviceTimes_;
-  const auto known = serviceTimes.find(aRoute);
-  if (known != serviceTimes.end()) {
-    known->second += (aElapsed - known->second) / kServiceTimeSmoothing;
-  } else if (serviceTimes.size() < kMaxServiceTimes) {
-    serviceTimes.emplace(aRoute, aElapsed);
-  }
+  const auto record = [&](auto& aTimes) {
+    const auto known = aTimes.find(aRoute);
+    if (known != aTimes.end()) {
+      known->second = known->second.After(aElapsed);
+    } else if (aTimes.size() < kMaxServiceTimes) {
+      aTimes.emplace(aRoute, ServiceTime{}.After(aElapsed));
+    }
+  };
+  auto& entry = entries_[aNode];
+  record(entry.serviceTimes_);
+  entry.serviceTime_ = entry.serviceTime_.After(aElapsed);
+  record(routeTimes_);
 }
 
 Duration
@@ -42,7 +47,7 @@
     return {};
   }
   const auto serviceTime = entry->second.serviceTimes_.find(aRoute);
-  return serviceTime == entry->second.serviceTimes_.end() ? Duration{} : serviceTime->second;
+  return serviceTime == entry->second.serviceTimes_.end() ? Duration{} : serviceTime->second.Mean();
 }
 
 double
@@ -74,7 +79,30 @@
   const bool fresh = aNow - entry.lastContactAt_ < kMaxReportAge;
   const double sent = static_cast<double>(entry.sentSinceReport_) / std::max(1U, aSlots);
   const double load = (fresh ? entry.loadReport_.load_ : 0) + sent;
-  return { .load_ = load, .acceptsWork_ = aNow >= entry.excludedUntil_ };
+  return { .load_ = load,
+           .acceptsWork_ = aNow >= entry.excludedUntil_,
+           .saturation_ = fresh ? entry.loadReport_.saturation_ : 0 };
+}
+
+/// An instance without a known time counts as an average one.
+Duration
+InstanceLoadTable::ExpectedCompletion(const BackendServer& aServer,
+                                      const Route& aRoute,
+                                      double aLoad) const
+{
+  const auto average = routeTimes_.find(aRoute.name_);
+  const auto ofAverage = average == routeTimes_.end() ? ServiceTime{} : average->second;
+  const auto entry = entries_.find(aServer.node_);
+  if (entry == entries_.end()) {
+    return ComputeExpectedCompletion(
+      { .load_ = aLoad, .ofRoute_ = ofAverage, .ofAll_ = ofAverage });
+  }
+  const auto known = entry->second.serviceTimes_.find(aRoute.name_);
+  const auto& ofAll = entry->second.serviceTime_;
+  return ComputeExpectedCompletion(
+    { .load_ = aLoad,
+      .ofRoute_ = known == entry->second.serviceTimes_.end() ? ofAverage : known->second,
+      .ofAll_ = ofAll.IsKnown() ? ofAll : ofAverage });
 }
 
 std::vector<Candidate>
@@ -102,14 +130,38 @@
     const auto estimate = EstimateLoad(backendServer, slots, aNow);
     const bool usable = estimate.acceptsWork_ && aMembership.AcceptsWork(backendServer.node_);
     (usable ? available : excluded)
-      .push_back({ .backendServer_ = &backendServer,
-                   .loadReport_ = estimate,
-                   .local_ = backendServer.failureDomain_ == aFailureDomain,
-                   .serviceTimeShare_ = ServiceTimeShare(backendServer.node_, aRoute) });
+      .push_back(
+        { .backendServer_ = &backendServer,
+          .loadReport_ = estimate,
+          .local_ = backendServer.failureDomain_ == aFailureDomain,
+          .serviceTimeShare_ = ServiceTimeShare(backendServer.node_, aRoute),
+          .expectedCompletion_ = balancing_ == Balancing::Completion
+                                   ? ExpectedCompletion(backendServer, aRoute, estimate.load_)
+                                   : Duration{},
+          .slots_ = slots,
+          .isReportRecent_ = IsReportRecent(backendServer.node_, aNow) });
   }
   return available.empty() ? excluded : available;
 }
 
+const SpillOver&
+InstanceLoadTable::UpdateSpillOver(const std::string& aService,
+                                   const std::vector<Candidate>& aCandidates,
+                                   bool aIsLarge,
+                                   TimePoint aNow)
+{
+  auto& spillOver = spillOver_[aService];
+  spillOver = spillOver.AfterRequest(aIsLarge).After(ComputeServiceLoad(aCandidates), aNow);
+  return spillOver;
+}
+
+bool
+InstanceLoadTable::IsReportRecent(const NodeAddress& aNode, TimePoint aNow) const
+{
+  const auto found = entries_.find(aNode);
+  return found != entries_.end() && aNow - found->second.lastContactAt_ < kMaxReportAge;
+}
+
 std::vector<Candidate>
 InstanceLoadTable::PreferLocalFailureDomain(const std::string& aService,
                                             const std::vector<Candidate>& aCandidates)
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -202,6 +202,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::BalancingMode(Balancing aBalancing)
+{
+  settings_.balancing_ = aBalancing;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/src/request/instance_choice.cpp
+++ b/src/request/instance_choice.cpp
@@ -25,16 +25,19 @@
 std::vector<Candidate>
 FilterLocal(const std::vector<Candidate>& aCandidates, bool aSpilling)
 {
-  if (aSpilling) {
-    return aCandidates;
-  }
-  std::vector<Candidate> local;
+  return aSpilling ? aCandidates : FilterByFailureDomain(aCandidates, true);
+}
+
+std::vector<Candidate>
+FilterByFailureDomain(const std::vector<Candidate>& aCandidates, bool aLocal)
+{
+  std::vector<Candidate> filtered;
   for (const auto& candidate : aCandidates) {
-    if (candidate.local_) {
-      local.push_back(candidate);
+    if (candidate.local_ == aLocal) {
+      filtered.push_back(candidate);
     }
   }
-  return local.empty() ? aCandidates : local;
+  return filtered.empty() ? aCandidates : filtered;
 }
 
 } // namespace geraniumpin
