Fleet-wide admission at the entry node, by what owners state in their replies

Cause: with demand beyond capacity each request travelled to an owner, was refused, and travelled to the next one. Change: fleet_admission (off by default) has owners state the rank and share that they admit, and entry nodes refuse beyond it at once with a Retry-After that is spread. Refusals everywhere do not use the retry budget. An owner also states that a route is one of calls, so that entry nodes rank its requests first.

--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -48,9 +48,10 @@
   const std::uint32_t attempt_ = 0;
   const Answer answer_;
   const LoadReport loadReport_;
-  const Duration queueTime_{};                ///< time in the owner's queue
-  const Duration instanceTime_{};             ///< time at the instance
-  const std::optional<OwnerRoom> room_{};     ///< nothing: the owner states none
+  const Duration queueTime_{};            ///< time in the owner's queue
+  const Duration instanceTime_{};         ///< time at the instance
+  const std::optional<OwnerRoom> room_{}; ///< nothing: the owner states none
+  const bool isCallRoute_ = false; ///< the requests of the route are calls of backend servers
   const std::vector<CalledService> called_{}; ///< by executions of the route of the request
 };
 
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -2,6 +2,7 @@
 
 #include "geraniumpin/connection/config_watch.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
+#include "geraniumpin/process/entry_admission.hpp"
 #include "geraniumpin/process/instance_load_table.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/owner_failure_detector.hpp"
@@ -51,6 +52,7 @@
     , limits_(aLimits)
     , tokens_(aTokens)
     , loadTable_(aContext.NodeSettings().BalancingMode())
+    , admission_(aContext.NodeSettings().HasFleetAdmission())
   {
   }
 
@@ -132,6 +134,9 @@
   {
     loadTable_.OnLoadReport(aEnvelope.sender_, aReply.loadReport_, context_.Now());
     const auto found = calls_.find(aReply.id_);
+    if (found != calls_.end()) {
+      OnOwnerStatement(found->second, aEnvelope.sender_, aReply);
+    }
     if (found == calls_.end() || found->second.stage_ != EntryStage::AtOwner) {
       context_.GetMetrics().Count("late_replies");
       return;
@@ -251,6 +256,9 @@
       destinations_.Next(call.decision_.route_, DrawFraction(context_.Ports().random_));
     auto& budget = retryBudgets_[call.service_];
     budget = budget.AfterRequest(context_.NodeSettings().RetryRatio());
+    if (RefuseBeyondCapacity(call)) {
+      return;
+    }
     const auto* team = call.decision_.snapshot_->FindTeam(call.decision_.team_);
     const bool isLimited = team != nullptr && team->ratePerSecond_ > 0;
     if (!isLimited || aTokenContext != nullptr) {
@@ -262,6 +270,40 @@
     OnTokens(call.decision_.team_); // earlier requests get tokens first
   }
 
+  void OnOwnerStatement(const EntryCall& aCall, const NodeAddress& aOwner, const CallReply& aReply)
+  {
+    const auto* service = context_.Versions().Current()->FindService(aCall.service_);
+    const auto slots = service == nullptr ? 1 : service->slots_;
+    const auto& route = aCall.decision_.route_.name_;
+    admission_.OnReply(aCall.service_, route, aOwner, slots, aReply, context_.Now());
+  }
+
+  /// Refuses a request at once if the owners of the service have no capacity for it.
+  /// \returns True if it was refused.
+  bool RefuseBeyondCapacity(EntryCall& aCall)
+  {
+    const auto& route = aCall.decision_.route_;
+    const auto target = route.targetLatency_.count() > 0 ? route.targetLatency_ : route.timeout_;
+    const auto rank = ComputeRank(aCall.decision_);
+    const auto retryAfter = admission_.Refuse({ .service_ = aCall.service_,
+                                                .rank_ = rank,
+                                                .position_ = DrawFraction(context_.Ports().random_),
+                                                .target_ = target },
+                                              DrawFraction(context_.Ports().random_),
+                                              context_.Now());
+    if (!retryAfter) {
+      return false;
+    }
+    context_.GetMetrics().Count("refused_by_level");
+    context_.Write(LogEvent("admission_level", Severity::Routine)
+                     .With("request", aCall.call_.requestId_)
+                     .With("service", aCall.service_)
+                     .With("rank", rank)
+                     .With("level", admission_.Level(aCall.service_, rank)));
+    Finish(aCall, Answer::WithoutContent(Outcome::NotRun, Reason::Overloaded, *retryAfter));
+    return true;
+  }
+
   /// \brief Starts or refuses a waiting request, depending on the tokens of its team.
   /// \returns True if the request no longer waits.
   [[nodiscard]] bool TryTakeToken(EntryCall& aCall)
@@ -370,10 +412,12 @@
 
   /// Calls of backend servers rank first, since their refusal fails the parent request; then the
   /// team's priority decides, then the route's. Without teams the owner finds the calls.
-  [[nodiscard]] static std::uint32_t ComputeRank(const RouteDecision& aDecision)
+  [[nodiscard]] std::uint32_t ComputeRank(const RouteDecision& aDecision) const
   {
     const auto* team = aDecision.snapshot_->FindTeam(aDecision.team_);
-    const bool isCall = team == nullptr && HasTeams(aDecision);
+    const bool isCall =
+      team == nullptr &&
+      (HasTeams(aDecision) || admission_.IsCallRoute(aDecision.route_.name_, context_.Now()));
     const auto priority = team == nullptr ? 0 : team->priority_;
     return (isCall ? 0 : (priority + 1) * kRanksPerTeamPriority) + aDecision.route_.priority_;
   }
@@ -445,7 +489,9 @@
                               .beforeDeadline_ = context_.Now() < aCall.deadline_,
                               .attempts_ = aCall.attempts_,
                               .instances_ = static_cast<std::uint32_t>(aCall.instances_.size()),
-                              .maxInstances_ = aCall.decision_.route_.attempts_ };
+                              .maxInstances_ = aCall.decision_.route_.attempts_,
+                              .serviceHasRoom_ = admission_.AllowsRetry(
+                                aCall.service_, ComputeRank(aCall.decision_), context_.Now()) };
     auto& budget = retryBudgets_[aCall.service_];
     if (retriesStopped_ || !MayRetry(inputs, budget)) {
       Finish(aCall, aAnswer);
@@ -676,6 +722,7 @@
   bool acceptingStopped_ = false;
   bool retriesStopped_ = false;
   InstanceLoadTable loadTable_;
+  EntryAdmission admission_;
   DestinationChoice destinations_;
   std::map<std::string, RetryBudget> retryBudgets_; ///< by service
   Calls calls_;
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -6,10 +6,12 @@
 #include "geraniumpin/process/failure_breaker.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/pace_monitor.hpp"
+#include "geraniumpin/process/room_tracker.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
 #include "geraniumpin/request/queue_timeout.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -111,7 +113,8 @@
     }
     if (const auto refusal = Check(aEnvelope, aRequest, aDelay)) {
       WriteRefusal(id, aRequest, *refusal, aDelay);
-      Reply(aEnvelope.sender_, id, Answer::WithoutContent(Outcome::NotRun, *refusal));
+      Reply(
+        aEnvelope.sender_, id, aRequest.route_, Answer::WithoutContent(Outcome::NotRun, *refusal));
       return;
     }
     if (replacedUntil_) {
@@ -369,9 +372,13 @@
     };
     const auto admitted = admission_.Admit(work, now);
     WriteAdmission(aId, aRequest, admitted, aDelay);
+    room_.Record(rank, admitted.has_value(), now);
     if (!admitted) {
       const auto retryAfter = admission_.RetryAfter(rank, now);
-      Reply(aEntry, aId, Answer::WithoutContent(Outcome::NotRun, admitted.error(), retryAfter));
+      Reply(aEntry,
+            aId,
+            aRequest.route_,
+            Answer::WithoutContent(Outcome::NotRun, admitted.error(), retryAfter));
       return;
     }
     attempts_.emplace(aId, OwnedAttempt{ aEntry, aRequest, work.deadline_, now });
@@ -457,7 +464,7 @@
   {
     const auto found = attempts_.find(aId);
     const auto entry = found->second.entry_;
-    const auto& route = found->second.request_.route_;
+    const auto route = found->second.request_.route_;
     const auto now = context_.Now();
     const bool started = found->second.startedAt_ != TimePoint{};
     const auto leftQueueAt = started ? found->second.startedAt_ : now;
@@ -472,11 +479,12 @@
     running_.erase({ found->second.deadline_, aId });
     tokens_.Revoke(aId);
     attempts_.erase(found);
-    Reply(entry, aId, aAnswer, queued, ran);
+    Reply(entry, aId, route, aAnswer, queued, ran);
   }
 
   void Reply(const NodeAddress& aEntry,
              const AttemptId& aId,
+             const std::string& aRoute,
              const Answer& aAnswer,
              Duration aQueued = {},
              Duration aRan = {})
@@ -490,7 +498,18 @@
                              .answer_ = aAnswer,
                              .loadReport_ = { ComputeLoad(), acceptsWork },
                              .queueTime_ = aQueued,
-                             .instanceTime_ = aRan });
+                             .instanceTime_ = aRan,
+                             .room_ = StateRoom(),
+                             .isCallRoute_ = callRoutes_.IsCallRoute(aRoute) });
+  }
+
+  [[nodiscard]] std::optional<OwnerRoom> StateRoom() const
+  {
+    if (!context_.NodeSettings().HasFleetAdmission()) {
+      return std::nullopt;
+    }
+    const auto now = context_.Now();
+    return room_.Room(admission_.RetryAfter(std::numeric_limits<std::uint32_t>::max(), now), now);
   }
 
   /// With Balancing::Completion, a slow period of the instance counts as load.
@@ -636,6 +655,7 @@
   CallRoutes callRoutes_;
   bool hasTeams_ = true; ///< of the document; true before the first one
   PaceMonitor pace_;
+  RoomTracker room_;
   Duration coldTime_ = kDefaultColdTime;
   std::string lastInstanceLine_;
   std::map<AttemptId, OwnedAttempt> attempts_;
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -105,6 +105,8 @@
   {
     return platformBounds_;
   }
+  /// \brief True if owners state their capacity and entry nodes refuse what exceeds it.
+  [[nodiscard]] bool HasFleetAdmission() const noexcept { return fleetAdmission_; }
   [[nodiscard]] Balancing BalancingMode() const noexcept { return balancing_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
@@ -146,6 +148,7 @@
   std::vector<std::string> platformBounds_;
   MachineLimits machine_;
   Balancing balancing_ = Balancing::Load;
+  bool fleetAdmission_ = false;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -205,6 +208,7 @@
   SettingsBuilder& PlatformBounds(std::vector<std::string> aBounds);
   SettingsBuilder& Machine(const MachineLimits& aLimits);
   SettingsBuilder& BalancingMode(Balancing aBalancing);
+  SettingsBuilder& FleetAdmission(bool aIsEnabled);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/include/geraniumpin/request/retry_policy.hpp
+++ b/include/geraniumpin/request/retry_policy.hpp
@@ -19,6 +19,7 @@
   const std::uint32_t attempts_ = 0;  ///< attempts so far, those included that owners refused
   const std::uint32_t instances_ = 0; ///< instances that attempts may have reached
   const std::uint32_t maxInstances_ = kDefaultAttempts; ///< from the route
+  const bool serviceHasRoom_ = true; ///< false if most owners of the service refuse such requests
 };
 
 /// \brief Limits the retries of one service at one node to a share of its requests.
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -160,6 +160,7 @@
     to.set_admitted_share(aFrom.room_->admittedShare_);
     to.set_room_after_us(Microseconds(aFrom.room_->roomAfter_));
   }
+  to.set_call_route(aFrom.isCallRoute_);
   for (const auto& called : aFrom.called_) {
     auto* item = to.add_called();
     item->set_service(called.service_);
@@ -231,6 +232,7 @@
     .queueTime_ = FromMicroseconds(aFrom.queued_us()),
     .instanceTime_ = FromMicroseconds(aFrom.ran_us()),
     .room_ = ReadRoom(aFrom),
+    .isCallRoute_ = aFrom.call_route(),
     .called_ = ReadCalled(aFrom)
   };
 }
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -40,6 +40,7 @@
     "retry_ratio": { "type": "number", "minimum": 0, "maximum": 1 },
     "platform_bounds": { "type": "array", "items": { "type": "string" } },
     "balancing": { "type": "string", "enum": ["load", "completion"] },
+    "fleet_admission": { "type": "boolean" },
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -137,6 +138,7 @@
   builder.RetryRatio(aRoot.value("retry_ratio", RetryBudget::kRetriesPerRequest))
     .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}))
     .Machine(ReadMachineLimits(aRoot))
+    .FleetAdmission(aRoot.value("fleet_admission", false))
     .BalancingMode(aRoot.value("balancing", "load") == "completion" ? Balancing::Completion
                                                                     : Balancing::Load);
   return builder;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -209,6 +209,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::FleetAdmission(bool aIsEnabled)
+{
+  settings_.fleetAdmission_ = aIsEnabled;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -59,7 +59,9 @@
     (aInputs.reason_ == Reason::Shed && aInputs.attempts_ < kMaxAttemptsWhenShed);
   const bool busy =
     aInputs.reason_ == Reason::Overloaded || aInputs.reason_ == Reason::DeadlinePassed;
-  if (busy && aInputs.attempts_ >= kMaxAttemptsWhenBusy) {
+  const bool isRefusedEverywhere =
+    (busy || aInputs.reason_ == Reason::Shed) && !aInputs.serviceHasRoom_;
+  if (isRefusedEverywhere || (busy && aInputs.attempts_ >= kMaxAttemptsWhenBusy)) {
     return false;
   }
   const bool arrived = MayHaveArrived(aInputs.outcome_, aInputs.reason_);
--- a/tests/request/decisions_test.cpp
+++ b/tests/request/decisions_test.cpp
@@ -119,6 +119,26 @@
 }
 
 // Refusals by another instance at the same address were repeated without retry budget.
+// Load pattern "instances of a service refuse everywhere": each further attempt costs messages at
+// nodes that are short of processor time, and the retry budget.
+BOOST_AUTO_TEST_CASE(a_request_is_not_sent_from_owner_to_owner_of_a_full_service)
+{
+  for (const auto reason : { Reason::Overloaded, Reason::DeadlinePassed, Reason::Shed }) {
+    const auto mayRetry = [&](bool aHasRoom) {
+      return MayRetry({ .outcome_ = Outcome::NotRun,
+                        .reason_ = reason,
+                        .idempotent_ = true,
+                        .beforeDeadline_ = true,
+                        .attempts_ = 1,
+                        .instances_ = 0,
+                        .serviceHasRoom_ = aHasRoom },
+                      RetryBudget{});
+    };
+    BOOST_TEST(mayRetry(true));
+    BOOST_TEST(!mayRetry(false));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(each_result_that_may_have_arrived_at_an_instance_needs_budget_for_a_retry)
 {
   struct Row
