Hedging: late idempotent requests get a second attempt

Cause: a request whose instance is slow waits for it, whatever the other instances do. Change: with hedge_ratio (0 by default) an idempotent request without a body that is later than the 0.95 quantile of its route is also sent to another instance, within the share, the retry budget, the attempts of the route and the limits on load (docs/design/hedging.md). The first good response wins and the other attempt is cancelled; a 5xx of one leaves the other in progress. Result: hedging_test over the fake mesh: one slow instance, all slow, lossy links, a failed second attempt. Not played on a deployment.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/connection/config_watch.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/entry_admission.hpp"
+#include "geraniumpin/process/hedging.hpp"
 #include "geraniumpin/process/instance_load_table.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/owner_failure_detector.hpp"
@@ -53,6 +54,7 @@
     , tokens_(aTokens)
     , loadTable_(aContext.NodeSettings().BalancingMode())
     , admission_(aContext.NodeSettings().HasFleetAdmission())
+    , hedging_(aContext.NodeSettings().HedgeRatio())
   {
   }
 
@@ -155,6 +157,8 @@
     if (aReply.answer_.outcome_ == Outcome::Answered) {
       const auto& call = found->second;
       loadTable_.OnServed(call.owner_, call.decision_.route_.name_, aReply.instanceTime_);
+      hedging_.OnResponse(
+        call.decision_.route_.name_, context_.Now() - call.firstSentAt_, context_.Now());
     }
     OnAttemptEnd(found->second, aReply.answer_);
   }
@@ -183,6 +187,9 @@
     for (const auto& id : failureDetector_.TakeDue(now)) {
       OnOwnerCheck(id);
     }
+    for (const auto& id : hedging_.TakeDue(now)) {
+      OnHedgeDue(id);
+    }
     std::vector<std::string> teams;
     for (const auto& [team, ids] : waiting_) {
       teams.push_back(team);
@@ -199,6 +206,7 @@
     }
     auto next = std::min(deadlines_.begin()->first,
                          failureDetector_.NextDeadline().value_or(TimePoint::max()));
+    next = std::min(next, hedging_.NextDeadline().value_or(TimePoint::max()));
     for (const auto& [team, ids] : waiting_) {
       const auto retryAt =
         std::min(limits_.RetryAt(team), ExhaustedWaitDeadline(calls_.at(*ids.begin())));
@@ -256,6 +264,7 @@
       destinations_.Next(call.decision_.route_, DrawFraction(context_.Ports().random_));
     auto& budget = retryBudgets_[call.service_];
     budget = budget.AfterRequest(context_.NodeSettings().RetryRatio());
+    hedging_.OnRequest(call.service_);
     if (RefuseBeyondCapacity(call)) {
       return;
     }
@@ -371,6 +380,9 @@
     if (aCall.stage_ == EntryStage::WaitingForToken) {
       aCall.firstSentAt_ = context_.Now();
       context_.GetMetrics().Record("token_ms", aCall.firstSentAt_ - aCall.call_.arrivedAt_);
+      if (MayBeHedged(MakeHedgeInputs(aCall, 0))) {
+        hedging_.Schedule(aCall.call_.id_, aCall.decision_.route_.name_, aCall.firstSentAt_);
+      }
     }
     aCall.stage_ = EntryStage::AtOwner;
     aCall.owner_ = chosen->node_;
@@ -422,10 +434,10 @@
     return (isCall ? 0 : (priority + 1) * kRanksPerTeamPriority) + aDecision.route_.priority_;
   }
 
-  [[nodiscard]] const BackendServer* SelectInstance(EntryCall& aCall)
+  /// Instances change more often than routes, so the current snapshot is used, not the decision's.
+  [[nodiscard]] std::vector<Candidate> FindCandidates(const EntryCall& aCall) const
   {
     const auto& decision = aCall.decision_;
-    // Instances change more often than routes, so the current snapshot is used, not the decision's.
     const auto& snapshot = context_.Versions().Current();
     const bool onlyReachedInstances = aCall.instances_.size() >= decision.route_.attempts_;
     auto candidates =
@@ -441,6 +453,13 @@
         return !aCall.instances_.contains(aCandidate.backendServer_->name_);
       });
     }
+    return candidates;
+  }
+
+  [[nodiscard]] const BackendServer* SelectInstance(EntryCall& aCall)
+  {
+    const auto& decision = aCall.decision_;
+    const auto candidates = FindCandidates(aCall);
     const auto bodyBytes = aCall.call_.body_ ? aCall.call_.body_->size() : 0;
     const auto choice = loadTable_.Choose(aCall.service_,
                                           candidates,
@@ -503,6 +522,51 @@
     StartAttempt(aCall);
   }
 
+  [[nodiscard]] HedgeInputs MakeHedgeInputs(const EntryCall& aCall, double aServiceLoad) const
+  {
+    const auto& route = aCall.decision_.route_;
+    const auto budget = retryBudgets_.find(aCall.service_);
+    return { .ratio_ = hedging_.Ratio(),
+             .idempotent_ = route.idempotent_,
+             .hasBody_ = aCall.call_.body_ && !aCall.call_.body_->empty(),
+             .hasOtherAttempt_ = aCall.superseded_.has_value() || aCall.attempts_ > 1,
+             .instances_ = static_cast<std::uint32_t>(aCall.instances_.size()) + 1,
+             .maxInstances_ = route.attempts_,
+             .isServiceRefusing_ = admission_.IsRefusing(aCall.service_, context_.Now()),
+             .serviceLoad_ = aServiceLoad,
+             .allowsRetry_ = budget != retryBudgets_.end() && budget->second.AllowsRetry(),
+             .allowsHedge_ = hedging_.AllowsHedge(aCall.service_) };
+  }
+
+  /// Sends a late request to a second instance, if the limits allow it. The first attempt goes on
+  /// beside it, as after the silence of an owner.
+  void OnHedgeDue(const CallId& aId)
+  {
+    const auto found = calls_.find(aId);
+    if (found == calls_.end() || found->second.stage_ != EntryStage::AtOwner || retriesStopped_) {
+      return;
+    }
+    auto& call = found->second;
+    const double load = loadTable_.MeanLoad(FindCandidates(call));
+    const auto decision = DecideHedge(MakeHedgeInputs(call, load));
+    context_.GetMetrics().Count("hedge_" + std::string(ToString(decision)));
+    context_.Write(LogEvent("hedge", Severity::Routine)
+                     .With("request", call.call_.requestId_)
+                     .With("decision", ToString(decision))
+                     .With("late_us", Microseconds(context_.Now() - call.firstSentAt_))
+                     .With("load", load));
+    if (decision != HedgeDecision::Hedge) {
+      return;
+    }
+    hedging_.OnHedge(call.service_);
+    auto& budget = retryBudgets_[call.service_];
+    budget = budget.AfterRetry();
+    call.isHedged_ = true;
+    call.instances_.insert(call.instance_);
+    call.superseded_ = { call.owner_, call.attempt_ };
+    StartAttempt(call);
+  }
+
   void OnDeadline(EntryCall& aCall)
   {
     deadlines_.erase(deadlines_.begin());
@@ -640,7 +704,9 @@
   void Finish(EntryCall& aCall, const Answer& aLast)
   {
     if (aCall.superseded_) {
-      if (aLast.outcome_ != Outcome::Answered) {
+      const bool isGood =
+        aLast.outcome_ == Outcome::Answered && !(aCall.isHedged_ && IsServerError(aLast.status_));
+      if (!isGood) {
         ResumeSuperseded(aCall);
         return;
       }
@@ -711,6 +777,7 @@
     const auto id = aCall->first;
     StopWaiting(aCall->second);
     failureDetector_.CancelCheck(id);
+    hedging_.Cancel(id);
     deadlines_.erase({ aCall->second.deadline_, id });
     deadlines_.erase({ aCall->second.acceptedAt_ + kMaxTokenWait, id });
     calls_.erase(aCall);
@@ -723,6 +790,7 @@
   bool retriesStopped_ = false;
   InstanceLoadTable loadTable_;
   EntryAdmission admission_;
+  Hedging hedging_;
   DestinationChoice destinations_;
   std::map<std::string, RetryBudget> retryBudgets_; ///< by service
   Calls calls_;
--- a/include/geraniumpin/process/instance_load_table.hpp
+++ b/include/geraniumpin/process/instance_load_table.hpp
@@ -78,6 +78,9 @@
     const std::string& aService,
     const std::vector<Candidate>& aCandidates);
 
+  /// \brief Returns the mean load of the candidates, weighted by slots; one at most for each.
+  [[nodiscard]] static double MeanLoad(const std::vector<Candidate>& aCandidates);
+
   /// \brief Chooses an instance for a request among the candidates.
   /// \param aIsRetry A retry may leave the failure domain whatever the share that spills over: the
   /// local instance that it was sent to had no capacity.
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -107,6 +107,9 @@
   }
   /// \brief True if owners state their capacity and entry nodes refuse what exceeds it.
   [[nodiscard]] bool HasFleetAdmission() const noexcept { return fleetAdmission_; }
+  /// \brief Share of a service's requests that may get a second attempt because they are late; 0:
+  /// none.
+  [[nodiscard]] double HedgeRatio() const noexcept { return hedgeRatio_; }
   [[nodiscard]] Balancing BalancingMode() const noexcept { return balancing_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
@@ -149,6 +152,7 @@
   MachineLimits machine_;
   Balancing balancing_ = Balancing::Load;
   bool fleetAdmission_ = false;
+  double hedgeRatio_ = 0;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -209,6 +213,7 @@
   SettingsBuilder& Machine(const MachineLimits& aLimits);
   SettingsBuilder& BalancingMode(Balancing aBalancing);
   SettingsBuilder& FleetAdmission(bool aIsEnabled);
+  SettingsBuilder& HedgeRatio(double aRatio);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/include/geraniumpin/request/entry_call.hpp
+++ b/include/geraniumpin/request/entry_call.hpp
@@ -38,6 +38,7 @@
   std::uint32_t attempts_ = 0;            ///< attempts sent to owner nodes
   std::uint32_t attempt_ = 0;             ///< number of the current attempt
   std::optional<SentAttempt> superseded_; ///< earlier attempt that may still be answered
+  bool isHedged_ = false;                 ///< the superseded attempt was late, its owner in contact
   bool mayHaveRun_ = false;               ///< the outcome of an earlier attempt is unknown
   std::set<std::string> instances_;       ///< instances that ended attempts may have reached
   std::string instance_;                  ///< of the last attempt
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -41,6 +41,7 @@
     "platform_bounds": { "type": "array", "items": { "type": "string" } },
     "balancing": { "type": "string", "enum": ["load", "completion"] },
     "fleet_admission": { "type": "boolean" },
+    "hedge_ratio": { "type": "number", "minimum": 0, "maximum": 0.2 },
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -139,6 +140,7 @@
     .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}))
     .Machine(ReadMachineLimits(aRoot))
     .FleetAdmission(aRoot.value("fleet_admission", false))
+    .HedgeRatio(aRoot.value("hedge_ratio", 0.0))
     .BalancingMode(aRoot.value("balancing", "load") == "completion" ? Balancing::Completion
                                                                     : Balancing::Load);
   return builder;
--- a/src/process/instance_load_table.cpp
+++ b/src/process/instance_load_table.cpp
@@ -155,6 +155,19 @@
   return spillOver;
 }
 
+double
+InstanceLoadTable::MeanLoad(const std::vector<Candidate>& aCandidates)
+{
+  double load = 0;
+  double slots = 0;
+  for (const auto& candidate : aCandidates) {
+    const auto weight = static_cast<double>(std::max(1U, candidate.slots_));
+    load += weight * std::min(candidate.loadReport_.load_, 1.0);
+    slots += weight;
+  }
+  return slots > 0 ? load / slots : 0;
+}
+
 bool
 InstanceLoadTable::IsReportRecent(const NodeAddress& aNode, TimePoint aNow) const
 {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -216,6 +216,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::HedgeRatio(double aRatio)
+{
+  settings_.hedgeRatio_ = aRatio;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -133,8 +133,11 @@
     for (const auto& [node, other] : nodes_) {
       seeds.push_back(node);
     }
-    const auto settings = SettingsBuilder("test")
-                            .PeerAddress(aNode)
+    SettingsBuilder builder("test");
+    if (configure_) {
+      configure_(builder);
+    }
+    const auto settings = builder.PeerAddress(aNode)
                             .CallerAddress(port(aNode.Ip(), 8000))
                             .AdminAddress(port(aNode.Ip(), 8100))
                             .BackendServerAddress(port(aNode.Ip(), 9000))
@@ -192,7 +195,8 @@
   CallId Call(const NodeAddress& aNode,
               const std::string& aTeam,
               const std::string& aMethod = "POST",
-              const std::string& aPath = "/orders/1")
+              const std::string& aPath = "/orders/1",
+              const std::string& aBody = "body")
   {
     auto& fake = *nodes_.at(aNode);
     const CallId id{ MakeOrigin(aNode, fake.incarnation_), ++fake.calls_ };
@@ -203,7 +207,7 @@
                                   .host_ = {},
                                   .path_ = aPath,
                                   .headers_ = {},
-                                  .body_ = MakeBody("body"),
+                                  .body_ = MakeBody(aBody),
                                   .key_ = aTeam.empty() ? "" : "key-" + aTeam,
                                   .callToken_ = {},
                                   .idempotencyKey_ = {},
@@ -266,6 +270,11 @@
   /// empty.
   std::function<ItemsRead(const std::string&)> makePage_;
   Duration serviceTime_ = milliseconds(5);
+  /// Service time of a request at the backend server of a node; serviceTime_ if empty.
+  std::function<Duration(const NodeAddress&)> getServiceTime_;
+  /// HTTP status of the answers of the backend server of a node; 200 if empty.
+  std::function<int(const NodeAddress&)> getStatus_;
+  std::function<void(SettingsBuilder&)> configure_; ///< settings of the nodes; may be empty
   /// How an exchange with the backend server of a node ends; Answered if empty.
   std::function<BackendResult(const NodeAddress&)> getBackendResult_;
   std::map<CallId, Answer> answers_;
@@ -410,7 +419,9 @@
   const auto id = aRequest.id_;
   mesh_.runs_.emplace(id.call_, mesh_.clock_.Now());
   mesh_.backendRequests_.push_back(aRequest);
-  mesh_.At(mesh_.serviceTime_, [this, id] {
+  const auto serviceTime =
+    mesh_.getServiceTime_ ? mesh_.getServiceTime_(self_) : mesh_.serviceTime_;
+  mesh_.At(serviceTime, [this, id] {
     if (mesh_.cancelled_.contains(id)) {
       return;
     }
@@ -418,7 +429,7 @@
       mesh_.getBackendResult_ ? mesh_.getBackendResult_(self_) : BackendResult::Answered;
     const BackendCompletion end{ .id_ = id,
                                  .result_ = result,
-                                 .status_ = 200,
+                                 .status_ = mesh_.getStatus_ ? mesh_.getStatus_(self_) : 200,
                                  .headers_ = {},
                                  .body_ = MakeBody("answer to " + ToString(id.call_)),
                                  .detail_ = result == BackendResult::Broken ? "bad status" : "" };
