Overload control: new requests last in a turn, saturation in replies

Cause: the node accepted requests while it read them, before responses that became ready in the same turn, and stated no saturation. What waited too long is refused as overloaded, not run, with a Retry-After that is drawn for each request. OwnerService states the level of NodeSaturation in its replies; status and metrics show it. Without the setting requests are served as before. FakeMesh gets a switch for the setting. Not measured with real processes.

--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -19,6 +19,21 @@
 
 namespace geraniumpin {
 
+/// \brief A request of a caller whose route was decided and that was not started yet.
+struct PreparedCall
+{
+  const Call call_;
+  const RouteDecision decision_;
+};
+
+/// \brief Why a prepared request was refused, for the log.
+struct IntakeRefusal
+{
+  const std::uint32_t rank_ = 0;
+  const Duration waited_{}; ///< since its arrival
+  const double saturation_ = 0;
+};
+
 /// \brief Serves the requests of callers at their entry node.
 ///
 /// Authenticates a request, takes a token of its team, sends attempts to the owners of instances,
@@ -57,34 +72,68 @@
   /// \brief Serves a request of a caller; the answer is sent through the caller port.
   /// \param aReadState Logged if the configuration does not allow the request.
   void OnCall(const Call& aCall, ConfigFreshness aFreshness, const ReadState& aReadState)
+  {
+    if (const auto prepared = Prepare(aCall, aFreshness, aReadState)) {
+      Start(*prepared);
+    }
+  }
+
+  /// \brief Decides the route of a request, or refuses it.
+  /// \returns Nothing if the request was refused.
+  [[nodiscard]] std::optional<PreparedCall> Prepare(const Call& aCall,
+                                                    ConfigFreshness aFreshness,
+                                                    const ReadState& aReadState)
   {
     context_.GetMetrics().Count("calls");
     if (aCall.isAbandoned_) {
       context_.GetMetrics().Count("calls_abandoned");
       Refuse(aCall, Reason::Cancelled);
-      return;
+      return std::nullopt;
     }
     if (acceptingStopped_) {
       Refuse(aCall, Reason::Draining);
-      return;
+      return std::nullopt;
     }
     const auto* tokenContext = FindCallTokenContext(aCall);
     if (!aCall.callToken_.empty() && tokenContext == nullptr) {
       Refuse(aCall, Reason::TokenUnknown);
-      return;
-    }
-    auto decision = DecideRoute(context_.Versions().Current(),
-                                aCall.host_,
-                                aCall.method_,
-                                aCall.path_,
-                                ComputeKeyDigest(aCall, tokenContext),
-                                aFreshness);
+      return std::nullopt;
+    }
+    const auto decision = DecideRoute(context_.Versions().Current(),
+                                      aCall.host_,
+                                      aCall.method_,
+                                      aCall.path_,
+                                      ComputeKeyDigest(aCall, tokenContext),
+                                      aFreshness);
     if (!decision) {
       WriteConfigRefusal(aCall, decision.error(), aReadState);
       Refuse(aCall, decision.error());
+      return std::nullopt;
+    }
+    return PreparedCall{ aCall, *decision };
+  }
+
+  /// \brief Starts a prepared request; its call token may have ended since.
+  void Start(const PreparedCall& aPrepared)
+  {
+    const auto& call = aPrepared.call_;
+    const auto* tokenContext = FindCallTokenContext(call);
+    if (!call.callToken_.empty() && tokenContext == nullptr) {
+      Refuse(call, Reason::TokenUnknown);
       return;
     }
-    Accept(aCall, *decision, tokenContext);
+    Accept(call, aPrepared.decision_, tokenContext);
+  }
+
+  /// \brief Refuses a prepared request, as not run.
+  void RefuseHeld(const Call& aCall, Reason aReason) { Refuse(aCall, aReason); }
+
+  /// \brief Refuses a prepared request for lack of capacity, as not run.
+  void RefuseOverloaded(const Call& aCall, const IntakeRefusal& aRefusal, Duration aRetryAfter)
+  {
+    const auto answer = Answer::WithoutContent(Outcome::NotRun, Reason::Overloaded, aRetryAfter);
+    WriteEnd(aCall, answer, nullptr, &aRefusal);
+    context_.Ports().callers_.Reply(aCall.id_, answer);
   }
 
   /// \brief Refuses new requests from now on; accepted ones are finished.
@@ -205,7 +254,24 @@
   [[nodiscard]] std::size_t InFlight() const noexcept { return calls_.size(); }
   [[nodiscard]] InstanceLoadTable& LoadTable() noexcept { return loadTable_; }
 
+  /// \brief Computes the rank of a request; the lowest is served first.
+  ///
+  /// Calls of backend servers rank first, since their refusal fails the parent request; then the
+  /// team's priority decides, then the route's. Without teams the owner finds the calls.
+  [[nodiscard]] static std::uint32_t ComputeRank(const RouteDecision& aDecision)
+  {
+    const auto* team = aDecision.snapshot_->FindTeam(aDecision.team_);
+    const bool isCall = team == nullptr && HasTeams(aDecision);
+    const auto priority = team == nullptr ? 0 : team->priority_;
+    return (isCall ? 0 : (priority + 1) * kRanksPerTeamPriority) + aDecision.route_.priority_;
+  }
+
 private:
+  [[nodiscard]] static bool HasTeams(const RouteDecision& aDecision)
+  {
+    return !aDecision.snapshot_->Teams().empty();
+  }
+
   using Calls = std::map<CallId, EntryCall>;
 
   [[nodiscard]] const CallTokenContext* FindCallTokenContext(const Call& aCall) const
@@ -363,21 +429,6 @@
                                                                     remaining) });
   }
 
-  [[nodiscard]] static bool HasTeams(const RouteDecision& aDecision)
-  {
-    return !aDecision.snapshot_->Teams().empty();
-  }
-
-  /// Calls of backend servers rank first, since their refusal fails the parent request; then the
-  /// team's priority decides, then the route's. Without teams the owner finds the calls.
-  [[nodiscard]] static std::uint32_t ComputeRank(const RouteDecision& aDecision)
-  {
-    const auto* team = aDecision.snapshot_->FindTeam(aDecision.team_);
-    const bool isCall = team == nullptr && HasTeams(aDecision);
-    const auto priority = team == nullptr ? 0 : team->priority_;
-    return (isCall ? 0 : (priority + 1) * kRanksPerTeamPriority) + aDecision.route_.priority_;
-  }
-
   [[nodiscard]] const BackendServer* SelectInstance(EntryCall& aCall)
   {
     const auto& decision = aCall.decision_;
@@ -619,7 +670,11 @@
 
   /// \brief Writes metrics and the log event of a finished request.
   /// \param aAccepted Null if the request was refused on arrival.
-  void WriteEnd(const Call& aCall, const Answer& aAnswer, const EntryCall* aAccepted)
+  /// \param aRefusal Null unless the request was refused for lack of capacity.
+  void WriteEnd(const Call& aCall,
+                const Answer& aAnswer,
+                const EntryCall* aAccepted,
+                const IntakeRefusal* aRefusal = nullptr)
   {
     const auto elapsed = context_.Now() - aCall.arrivedAt_;
     context_.GetMetrics().Count("outcome_" + std::string(ToString(aAnswer.outcome_)));
@@ -645,6 +700,11 @@
         .With("queued_us", Microseconds(aAccepted->queueTime_))
         .With("ran_us", Microseconds(aAccepted->instanceTime_));
     }
+    if (aRefusal != nullptr) {
+      event.With("rank", aRefusal->rank_)
+        .With("waited_us", Microseconds(aRefusal->waited_))
+        .With("saturation", aRefusal->saturation_);
+    }
     context_.Write(event);
   }
 
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -4,9 +4,11 @@
 #include "geraniumpin/process/config_service.hpp"
 #include "geraniumpin/process/entry_service.hpp"
 #include "geraniumpin/process/gossip_service.hpp"
+#include "geraniumpin/process/node_saturation.hpp"
 #include "geraniumpin/process/node_status.hpp"
 #include "geraniumpin/process/owner_service.hpp"
 #include "geraniumpin/process/platform_reader.hpp"
+#include "geraniumpin/process/request_intake.hpp"
 #include "geraniumpin/process/team_limits.hpp"
 #include "geraniumpin/process/turn_monitor.hpp"
 
@@ -38,17 +40,27 @@
     , config_(context_, [this](const Snapshot& aSnapshot) { OnSnapshot(aSnapshot); })
     , reader_(context_, config_)
     , gossip_(context_, config_, reader_)
+    , intake_(context_, entry_)
   {
   }
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  /// \brief Handles a request of a caller.
+  /// \brief Handles a request of a caller; with overload control, OnTimer starts it.
   void OnCall(const Call& aCall)
   {
     OnTurnEvent();
     ++turn_.calls_;
-    entry_.OnCall(aCall, gossip_.EvaluateFreshness(), reader_.GetReadState());
+    if (context_.NodeSettings().OverloadControl()) {
+      measured_.wait_ = std::max(measured_.wait_, context_.Now() - aCall.arrivedAt_);
+      const auto prepared =
+        entry_.Prepare(aCall, gossip_.EvaluateFreshness(), reader_.GetReadState());
+      if (prepared) {
+        intake_.Hold(*prepared);
+      }
+    } else {
+      entry_.OnCall(aCall, gossip_.EvaluateFreshness(), reader_.GetReadState());
+    }
     DeliverLocalMessages();
   }
 
@@ -67,6 +79,7 @@
   /// \brief Cancels the request of a caller that closed its connection.
   void OnCallerGone(const CallId& aId)
   {
+    intake_.OnCallerGone(aId);
     entry_.OnCallerGone(aId);
     DeliverLocalMessages();
   }
@@ -80,6 +93,7 @@
     if (aEnvelope.sender_ != context_.Self()) {
       excessDelay_ = linkDelay_.OnMessage(
         aEnvelope.sender_, aEnvelope.senderIncarnation_, aEnvelope.sentAt_, context_.Now());
+      measured_.wait_ = std::max(measured_.wait_, excessDelay_);
       if (context_.Links().OnMessage(aEnvelope, context_.Now())) {
         context_.ReplaceConnection(aEnvelope.sender_);
       }
@@ -120,11 +134,21 @@
     owner_.OnTimer();
     DeliverLocalMessages();
     MaintainLinks();
+    // New requests come last: responses and the next steps of started work precede them.
+    if (intake_.Held() > 0) {
+      OnTurnEvent();
+      intake_.OnTurn(saturation_.Level(context_.Now()));
+      DeliverLocalMessages();
+    }
   }
 
   /// \brief Records the end of a turn of the event loop. Its duration counts from its first event.
-  void OnTurnEnd()
+  /// \param aCoresUsed A new sample of the processor time used by the process, if there is one.
+  /// \param aQueuedLinkBytes Bytes that wait to be sent to peers.
+  void OnTurnEnd(std::optional<double> aCoresUsed = std::nullopt,
+                 std::uint64_t aQueuedLinkBytes = 0)
   {
+    measured_.coresUsed_ = aCoresUsed ? aCoresUsed : measured_.coresUsed_;
     if (turnStartedAt_ == TimePoint{}) {
       return;
     }
@@ -132,6 +156,12 @@
     turn.endedAt_ = context_.Now();
     turn.duration_ = turn.endedAt_ - std::exchange(turnStartedAt_, {});
     context_.GetMetrics().Record("turn_ms", turn.duration_);
+    if (context_.NodeSettings().OverloadControl()) {
+      auto inputs = std::exchange(measured_, {});
+      inputs.turn_ = turn.duration_;
+      inputs.queuedLinkBytes_ = aQueuedLinkBytes;
+      saturation_ = saturation_.AfterTurn(inputs, context_.NodeSettings().Machine(), turn.endedAt_);
+    }
     if (const auto longest = turnMonitor_.OnTurn(turn)) {
       WriteLoopLag(*longest);
     }
@@ -148,7 +178,7 @@
                               owner_.NextDeadline() }) {
       next = time ? std::min(next, *time) : next;
     }
-    return next;
+    return intake_.Held() > 0 ? std::min(next, context_.Now()) : next;
   }
 
   /// \brief Starts the last phase of a planned stop: refuses new requests of callers as not run.
@@ -174,6 +204,7 @@
     // The owner first: a request of this entry node then learns whether its attempt was started.
     owner_.EndPending();
     DeliverLocalMessages();
+    intake_.EndPending();
     entry_.EndPending();
     DeliverLocalMessages();
   }
@@ -181,7 +212,7 @@
   /// \brief Returns true if no request is in flight, so that a planned stop can end.
   [[nodiscard]] bool IsIdle() const noexcept
   {
-    return entry_.InFlight() == 0 && owner_.InFlight() == 0;
+    return intake_.Held() == 0 && entry_.InFlight() == 0 && owner_.InFlight() == 0;
   }
 
   /// \brief Returns true if the node serves all routes: its configuration is confirmed and recent,
@@ -204,7 +235,8 @@
              .entryCalls_ = entry_.InFlight(),
              .ownedAttempts_ = owner_.InFlight(),
              .queued_ = owner_.Queued(),
-             .concurrencyLimit_ = owner_.Limit() };
+             .concurrencyLimit_ = owner_.Limit(),
+             .saturation_ = saturation_.Level(context_.Now()) };
   }
 
   [[nodiscard]] const Metrics& GetMetrics() const noexcept { return context_.GetMetrics(); }
@@ -320,6 +352,7 @@
   {
     if (turnStartedAt_ == TimePoint{}) {
       turnStartedAt_ = context_.Now();
+      owner_.SetSaturation(saturation_.Level(turnStartedAt_));
     }
   }
 
@@ -373,8 +406,11 @@
   ConfigService<PortSet> config_;
   PlatformReader<PortSet> reader_;
   GossipService<PortSet> gossip_;
-  LoopTurn turn_;             ///< in progress
-  TimePoint turnStartedAt_{}; ///< first event of the turn in progress; zero before it
+  RequestIntake<PortSet> intake_; ///< empty without overload control
+  NodeSaturation saturation_;     ///< zero without overload control
+  SaturationInputs measured_;     ///< in the turn in progress
+  LoopTurn turn_;                 ///< in progress
+  TimePoint turnStartedAt_{};     ///< first event of the turn in progress; zero before it
   TurnMonitor turnMonitor_;
   LinkDelay linkDelay_;
   Duration excessDelay_{}; ///< of the message in progress, beyond the lowest delay of its link
--- a/include/geraniumpin/process/node_status.hpp
+++ b/include/geraniumpin/process/node_status.hpp
@@ -40,6 +40,7 @@
   const std::size_t ownedAttempts_ = 0;
   const std::size_t queued_ = 0;
   const double concurrencyLimit_ = 0;
+  const double saturation_ = 0; ///< from 0 to 1; 0 without overload control
 
   auto operator<=>(const NodeStatus&) const = default;
 };
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -200,6 +200,9 @@
     return next;
   }
 
+  /// \brief Sets the saturation of this node that replies state.
+  void SetSaturation(double aLevel) noexcept { saturation_ = aLevel; }
+
   [[nodiscard]] std::size_t InFlight() const noexcept { return attempts_.size(); }
   [[nodiscard]] double Limit() const noexcept { return admission_.Limit(); }
   [[nodiscard]] std::size_t Queued() const { return admission_.Queued(); }
@@ -488,7 +491,7 @@
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
                              .answer_ = aAnswer,
-                             .loadReport_ = { ComputeLoad(), acceptsWork },
+                             .loadReport_ = { ComputeLoad(), acceptsWork, saturation_ },
                              .queueTime_ = aQueued,
                              .instanceTime_ = aRan });
   }
@@ -626,6 +629,7 @@
   std::string instance_;
   std::uint64_t startedAt_ = 0;
   bool acceptsWork_ = false;     ///< the instance is ready
+  double saturation_ = 0;        ///< of this node
   bool inService_ = false;       ///< its failure domain is in service
   bool wasOutOfService_ = false; ///< at any time since this process started
   bool unreachable_ = false;     ///< the last connection to the instance failed
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -106,6 +106,9 @@
     return platformBounds_;
   }
   [[nodiscard]] Balancing BalancingMode() const noexcept { return balancing_; }
+  /// \brief True if new requests are started by rank within a bounded wait, and replies state the
+  /// node's saturation.
+  [[nodiscard]] bool OverloadControl() const noexcept { return overloadControl_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
   /// \brief Longest time that a planned stop waits for running requests.
@@ -146,6 +149,7 @@
   std::vector<std::string> platformBounds_;
   MachineLimits machine_;
   Balancing balancing_ = Balancing::Load;
+  bool overloadControl_ = false;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -205,6 +209,7 @@
   SettingsBuilder& PlatformBounds(std::vector<std::string> aBounds);
   SettingsBuilder& Machine(const MachineLimits& aLimits);
   SettingsBuilder& BalancingMode(Balancing aBalancing);
+  SettingsBuilder& OverloadControl(bool aEnabled);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -33,7 +33,8 @@
     { "state", ToString(aStatus.state_) },   { "watcher", aStatus.watcher_ },
     { "home_teams", aStatus.leasedTeams_ },  { "home_authorized", aStatus.takeoversComplete_ },
     { "entry_calls", aStatus.entryCalls_ },  { "owned_attempts", aStatus.ownedAttempts_ },
-    { "queued", aStatus.queued_ },           { "concurrency_limit", aStatus.concurrencyLimit_ }
+    { "queued", aStatus.queued_ },           { "concurrency_limit", aStatus.concurrencyLimit_ },
+    { "saturation", aStatus.saturation_ }
   };
 }
 
--- a/src/adapters/process/metrics_text.cpp
+++ b/src/adapters/process/metrics_text.cpp
@@ -59,6 +59,7 @@
   impl::WriteGauge(out, "owned_attempts", aStatus.ownedAttempts_);
   impl::WriteGauge(out, "queued", aStatus.queued_);
   impl::WriteGauge(out, "concurrency_limit", aStatus.concurrencyLimit_);
+  impl::WriteGauge(out, "saturation", aStatus.saturation_);
   return out.str();
 }
 
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -12,6 +12,7 @@
 #include "geraniumpin/process/node.hpp"
 #include "geraniumpin/process/stop_schedule.hpp"
 #include "line_log.hpp"
+#include "processor_clock.hpp"
 #include "secure_random.hpp"
 #include "settings_watch.hpp"
 #include "signal_watch.hpp"
@@ -211,7 +212,9 @@
     if (signals_.TakeReloadRequest() || clock_.Now() >= settingsWatch_.NextDeadline()) {
       ReloadSettings();
     }
-    node_.OnTurnEnd();
+    // TransportCounters does not state the bytes that wait for peers yet.
+    node_.OnTurnEnd(settings_.OverloadControl() ? processorMeter_.Sample(clock_.Now())
+                                                : std::nullopt);
     log_.Flush();
   }
 
@@ -262,6 +265,8 @@
   Settings settings_; ///< those of the file with the platform's bounds
   std::uint64_t incarnation_ = 0;
   const SystemClock clock_{};
+  const ProcessProcessorClock processorClock_{};
+  ProcessorMeter<ProcessProcessorClock> processorMeter_{ processorClock_ };
   SecureRandom random_;
   LineLog log_{ STDOUT_FILENO };
   const JsonPartCodec codec_{};
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -40,6 +40,7 @@
     "retry_ratio": { "type": "number", "minimum": 0, "maximum": 1 },
     "platform_bounds": { "type": "array", "items": { "type": "string" } },
     "balancing": { "type": "string", "enum": ["load", "completion"] },
+    "overload_control": { "type": "boolean" },
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -138,7 +139,8 @@
     .PlatformBounds(aRoot.value("platform_bounds", std::vector<std::string>{}))
     .Machine(ReadMachineLimits(aRoot))
     .BalancingMode(aRoot.value("balancing", "load") == "completion" ? Balancing::Completion
-                                                                    : Balancing::Load);
+                                                                    : Balancing::Load)
+    .OverloadControl(aRoot.value("overload_control", false));
   return builder;
 }
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -209,6 +209,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::OverloadControl(bool aEnabled)
+{
+  settings_.overloadControl_ = aEnabled;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -784,3 +784,146 @@
   BOOST_TEST(mesh.backendRequests_[1].isRepeated_);
   BOOST_TEST(!mesh.backendRequests_[2].isRepeated_);
 }
+
+namespace {
+
+/// Starts two nodes with overload control. The team "small" is more urgent than "large".
+std::vector<NodeAddress>
+StartWithOverloadControl(FakeMesh& aMesh)
+{
+  aMesh.overloadControl_ = true;
+  const DocumentOptions options{ .domains_ = 1, .nodesPerDomain_ = 2 };
+  const auto nodes = StartAll(aMesh, options);
+  auto document = MakeDocument({ .domains_ = 1, .nodesPerDomain_ = 2, .version_ = 2 });
+  document["teams"][1]["priority"] = 5;
+  aMesh.Publish(Encode(document));
+  aMesh.Run(std::chrono::seconds(2));
+  return nodes;
+}
+
+} // namespace
+
+// Guards against a change for deployments that do not enable overload control.
+BOOST_AUTO_TEST_CASE(without_overload_control_a_request_is_accepted_when_it_is_read)
+{
+  FakeMesh mesh(24);
+  StartAll(mesh, kSmall);
+  mesh.Call(NodeAt(1, 1), "small");
+  BOOST_TEST(mesh.At(NodeAt(1, 1)).Status().entryCalls_ == 1U);
+}
+
+// Guards against new requests that precede responses which were read later in the same turn.
+BOOST_AUTO_TEST_CASE(with_overload_control_a_request_is_accepted_at_the_end_of_the_turn)
+{
+  FakeMesh mesh(25);
+  StartWithOverloadControl(mesh);
+  const auto id = mesh.Call(NodeAt(1, 1), "small");
+  BOOST_TEST(mesh.At(NodeAt(1, 1)).Status().entryCalls_ == 0U);
+  BOOST_TEST(!mesh.At(NodeAt(1, 1)).IsIdle());
+  mesh.Run(milliseconds(500));
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::Answered));
+}
+
+// Guards against a "burst of a less urgent class" that is started before an urgent request.
+BOOST_AUTO_TEST_CASE(burst_of_a_less_urgent_class_is_started_after_an_urgent_request)
+{
+  FakeMesh mesh(26);
+  StartWithOverloadControl(mesh);
+  for (int i = 0; i < 5; ++i) {
+    mesh.Call(NodeAt(1, 1), "large");
+  }
+  const auto urgent = mesh.Call(NodeAt(1, 1), "small");
+  mesh.Run(milliseconds(500));
+  const auto& lines = mesh.GetLog(NodeAt(1, 1));
+  const auto first = std::find_if(lines.begin(), lines.end(), [](const std::string& aLine) {
+    return aLine.find("event=route") != std::string::npos;
+  });
+  BOOST_REQUIRE((first != lines.end()));
+  BOOST_TEST(first->find("call=" + ToString(urgent)) != std::string::npos);
+}
+
+// Guards against work for requests that are late already, when a node gets processor time again:
+// "quota used up".
+BOOST_AUTO_TEST_CASE(quota_used_up_refuses_what_has_waited_too_long_as_not_run)
+{
+  FakeMesh mesh(27);
+  StartWithOverloadControl(mesh);
+  mesh.Pause(NodeAt(1, 1));
+  const auto late = mesh.Call(NodeAt(1, 1), "small");
+  mesh.Run(milliseconds(300)); // a quarter of the timeout of 1,000 ms is 250 ms
+  const auto recent = mesh.Call(NodeAt(1, 1), "small");
+  mesh.Run(milliseconds(90));
+  mesh.Resume(NodeAt(1, 1));
+  mesh.Run(milliseconds(500));
+  BOOST_REQUIRE(mesh.answers_.contains(late));
+  const auto& answer = mesh.answers_.at(late);
+  BOOST_TEST((answer.outcome_ == Outcome::NotRun));
+  BOOST_TEST((answer.reason_ == Reason::Overloaded));
+  BOOST_TEST(answer.retryAfter_.count() > 0);
+  BOOST_TEST(mesh.CountRuns(late) == 0U);
+  BOOST_TEST(HasLine(mesh.GetLog(NodeAt(1, 1)), "reason=overloaded status=0 us=390000 rank="));
+  BOOST_TEST(mesh.At(NodeAt(1, 1)).GetMetrics().Counters().at("intake_refused") == 1U);
+  BOOST_REQUIRE(mesh.answers_.contains(recent));
+  BOOST_TEST((mesh.answers_.at(recent).outcome_ == Outcome::Answered));
+}
+
+// Guards against work for a caller that left while its request was held.
+BOOST_AUTO_TEST_CASE(a_held_request_ends_when_its_caller_leaves)
+{
+  FakeMesh mesh(28);
+  StartWithOverloadControl(mesh);
+  const auto id = mesh.Call(NodeAt(1, 1), "small");
+  mesh.At(NodeAt(1, 1)).OnCallerGone(id);
+  BOOST_TEST(mesh.At(NodeAt(1, 1)).IsIdle());
+  mesh.Run(milliseconds(500));
+  BOOST_TEST(mesh.CountRuns(id) == 0U);
+}
+
+// Guards against a held request that gets no answer at the end of a planned stop.
+BOOST_AUTO_TEST_CASE(a_held_request_is_refused_at_the_end_of_a_planned_stop)
+{
+  FakeMesh mesh(29);
+  StartWithOverloadControl(mesh);
+  const auto id = mesh.Call(NodeAt(1, 1), "small");
+  mesh.At(NodeAt(1, 1)).EndPending();
+  BOOST_REQUIRE(mesh.answers_.contains(id));
+  BOOST_TEST((mesh.answers_.at(id).outcome_ == Outcome::NotRun));
+  BOOST_TEST((mesh.answers_.at(id).reason_ == Reason::Draining));
+}
+
+// Guards against peers that do not notice "load beyond the processor share" of an owner node.
+BOOST_AUTO_TEST_CASE(load_beyond_the_processor_share_is_stated_in_replies)
+{
+  FakeMesh mesh(30);
+  StartWithOverloadControl(mesh);
+  auto& node = mesh.At(NodeAt(1, 1));
+  mesh.Pause(NodeAt(1, 1));
+  mesh.Call(NodeAt(1, 1), "small");
+  mesh.Run(milliseconds(400)); // the wait of the request is longer than NodeSaturation::kMaxWait
+  mesh.Resume(NodeAt(1, 1));
+  node.OnTimer();
+  node.OnTurnEnd();
+  BOOST_TEST(node.Status().saturation_ > 0.9);
+  mesh.recordSent_ = true;
+  node.OnEnvelope({ .sender_ = NodeAt(1, 2),
+                    .senderIncarnation_ = 1,
+                    .receiverIncarnation_ = 0,
+                    .senderVersion_ = {},
+                    .payload_ = CallRequest{ .id_ = { 77, 1 },
+                                             .attempt_ = 1,
+                                             .route_ = "none",
+                                             .service_ = "none",
+                                             .body_ = MakeBody(""),
+                                             .remaining_ = milliseconds(500),
+                                             .queueTimeout_ = milliseconds(500) } });
+  double stated = 0;
+  for (const auto& [at, envelope] : mesh.sent_) {
+    if (const auto* reply = std::get_if<CallReply>(&envelope.payload_)) {
+      stated = std::max(stated, reply->loadReport_.saturation_);
+    }
+  }
+  BOOST_TEST(stated > 0.9);
+  mesh.Run(milliseconds(500));
+  BOOST_TEST(node.Status().saturation_ < 0.1);
+}
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -142,6 +142,7 @@
                             .FailureDomainName(aDomain)
                             .PeerKey("0123456789abcdef")
                             .Seeds(seeds)
+                            .OverloadControl(overloadControl_)
                             .Build();
     auto& ports = fake->ports_;
     fake->node_ = std::make_unique<Node<FakeNodePorts>>(
@@ -258,6 +259,7 @@
   /// Whether messages from the first to the second node are lost; may be empty.
   std::function<bool(const NodeAddress&, const NodeAddress&)> isPartitioned_;
   bool platformDown_ = false;
+  bool overloadControl_ = false; ///< of the nodes that are started from here on
   bool sameIncarnation_ = false; ///< nodes start with incarnation 1, as if at the same time
   /// Whether the platform fails for a node; may be empty.
   std::function<bool(const NodeAddress&)> isPlatformUnreachable_;
--- a/tests/version/document_test.cpp
+++ b/tests/version/document_test.cpp
@@ -113,6 +113,17 @@
   BOOST_TEST(!ParseSettings("node.json", missing.dump()));
 }
 
+// Guards against overload control that takes effect without its setting.
+BOOST_AUTO_TEST_CASE(overload_control_is_off_unless_the_settings_enable_it)
+{
+  auto settings = MakeValidSettings();
+  BOOST_TEST(!ParseSettings("node.json", settings.dump())->OverloadControl());
+  settings["overload_control"] = true;
+  BOOST_TEST(ParseSettings("node.json", settings.dump())->OverloadControl());
+  settings["overload_control"] = "yes";
+  BOOST_TEST(!ParseSettings("node.json", settings.dump()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(eighteen_thousand_instances_fit_into_parts_below_a_megabyte)
 {
   constexpr int kServices = 460;
