--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -111,6 +111,9 @@
   /// none.
   [[nodiscard]] double HedgeRatio() const noexcept { return hedgeRatio_; }
   [[nodiscard]] Balancing BalancingMode() const noexcept { return balancing_; }
+  /// \brief True if new requests are started by rank within a bounded wait, and replies state the
+  /// node's saturation.
+  [[nodiscard]] bool OverloadControl() const noexcept { return overloadControl_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
   /// \brief Longest time that a planned stop waits for running requests.
@@ -153,6 +156,7 @@
   Balancing balancing_ = Balancing::Load;
   bool fleetAdmission_ = false;
   double hedgeRatio_ = 0;
+  bool overloadControl_ = false;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
@@ -214,6 +218,7 @@
   SettingsBuilder& BalancingMode(Balancing aBalancing);
   SettingsBuilder& FleetAdmission(bool aIsEnabled);
   SettingsBuilder& HedgeRatio(double aRatio);
+  SettingsBuilder& OverloadControl(bool aEnabled);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -42,6 +42,7 @@
     "balancing": { "type": "string", "enum": ["load", "completion"] },
     "fleet_admission": { "type": "boolean" },
     "hedge_ratio": { "type": "number", "minimum": 0, "maximum": 0.2 },
+    "overload_control": { "type": "boolean" },
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
@@ -142,7 +143,8 @@
     .FleetAdmission(aRoot.value("fleet_admission", false))
     .HedgeRatio(aRoot.value("hedge_ratio", 0.0))
     .BalancingMode(aRoot.value("balancing", "load") == "completion" ? Balancing::Completion
-                                                                    : Balancing::Load);
+                                                                    : Balancing::Load)
+    .OverloadControl(aRoot.value("overload_control", false));
   return builder;
 }
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -223,6 +223,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::OverloadControl(bool aEnabled)
+{
+  settings_.overloadControl_ = aEnabled;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
