--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -26,7 +26,7 @@
 -- relays (routes traffic through the fake network), services (assigned to the VMs round robin),
 -- rate and burst (of each team), platform (further arguments of the fake platform), backend (further
 -- arguments of the fake backend servers), backend_program (instead of the fake backend server),
--- max_body_bytes (of the nodes), platform_address_of (function from a VM to the address at
+-- max_body_bytes and memory_mb (of the nodes), platform_address_of (function from a VM to the address at
 -- which its node reaches the platform), timeout_ms (of the keyed routes), drain_timeout_ms
 function new_mesh(options)
   local mesh = setmetatable({ options = options, vms = {}, version = 0, document = nil }, Mesh)
@@ -144,7 +144,8 @@
     platform = self.options.platform_address_of and self.options.platform_address_of(vm) or
                self.platform,
     seeds = #seeds > 0 and seeds or nil, peer_key = "a secret of all nodes",
-    max_body_bytes = self.options.max_body_bytes or 1048576, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
+    max_body_bytes = self.options.max_body_bytes or 1048576,
+    memory_mb = self.options.memory_mb, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
   }
 end
 
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -14,6 +14,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <lua.hpp>
@@ -328,15 +329,15 @@
   return 1;
 }
 
-/// memory_kb(name) returns the resident memory of a process, processor_ms(name) its processor time.
+/// Pushes a field of /proc/PID/status; 0 if there is none.
 int
-LuaMemoryKb(lua_State* aLua)
+PushStatusField(lua_State* aLua, const std::string& aField)
 {
   std::ifstream file("/proc/" + std::to_string(GetContext(aLua).FindPid(CheckString(aLua, 1))) +
                      "/status");
   for (std::string line; std::getline(file, line);) {
-    if (line.starts_with("VmRSS:")) {
-      lua_pushinteger(aLua, std::stoll(line.substr(6)));
+    if (line.starts_with(aField)) {
+      lua_pushinteger(aLua, std::stoll(line.substr(aField.size())));
       return 1;
     }
   }
@@ -344,6 +345,30 @@
   return 1;
 }
 
+/// memory_kb(name) returns the resident memory of a process, peak_memory_kb(name) its highest
+/// value, open_descriptors(name) the number of its descriptors, processor_ms(name) its processor
+/// time.
+int
+LuaMemoryKb(lua_State* aLua)
+{
+  return PushStatusField(aLua, "VmRSS:");
+}
+
+int
+LuaPeakMemoryKb(lua_State* aLua)
+{
+  return PushStatusField(aLua, "VmHWM:");
+}
+
+int
+LuaOpenDescriptors(lua_State* aLua)
+{
+  const auto pid = GetContext(aLua).FindPid(CheckString(aLua, 1));
+  const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(pid) + "/fd");
+  lua_pushinteger(aLua, std::distance(begin(descriptors), end(descriptors)));
+  return 1;
+}
+
 int
 LuaProcessorMs(lua_State* aLua)
 {
@@ -390,6 +415,8 @@
   lua_register(aLua, "write_file", ConvertExceptions<LuaWriteFile>);
   lua_register(aLua, "read_file", ConvertExceptions<LuaReadFile>);
   lua_register(aLua, "memory_kb", ConvertExceptions<LuaMemoryKb>);
+  lua_register(aLua, "peak_memory_kb", ConvertExceptions<LuaPeakMemoryKb>);
+  lua_register(aLua, "open_descriptors", ConvertExceptions<LuaOpenDescriptors>);
   lua_register(aLua, "processor_ms", ConvertExceptions<LuaProcessorMs>);
 }
 
--- a/tests/standins/raw_server.cpp
+++ b/tests/standins/raw_server.cpp
@@ -3,6 +3,7 @@
 /// Fields of the request, or else options, set what follows its header:
 ///
 ///     x-answer     the bytes to send, percent-encoded; $ID is the id of the request
+///     x-answer-bytes  number of bytes that follow them
 ///     x-read-body  number of bytes of the request body to read before; default: all
 ///     x-end        what happens to the connection: keep (default), end-stream, close, reset
 ///
@@ -161,6 +162,7 @@
     auto answer =
       QueryParameter("?x=" + (stated.empty() ? options_.answer_ : std::string(stated)), "x");
     ReplaceId(answer, FindHeader(aFields, "geraniumpin-request-id"));
+    answer.append(ParseNumber(FindHeader(aFields, "x-answer-bytes"), 0), 'x');
     (void)send(aConnection.fd_, answer.data(), answer.size(), 0);
     const auto statedEnd = FindHeader(aFields, "x-end");
     const auto end = statedEnd.empty() ? std::string_view(options_.end_) : statedEnd;
