Transport: large bodies as parts of their own, and bounds on what waits

Cause: a body was copied into protobuf, into the encoded message and into ZeroMQ. One of max_body_bytes exceeded the limit of a message together with its envelope and never arrived. What waited in ZeroMQ had no bound in bytes.

Change: bodies of 16 KB and more follow their frame as a part that refers to the shared body, covered by the tag; the receiver copies once. TransportLimits, computed from the machine's memory, bounds what waits for all peers and for one; queued_bytes states it. The transport's constructor takes TransportLimits in place of the size of a message, so the tests that construct one pass that; their checks are unchanged.

Measured: a body of 67,108,864 bytes arrives (peer_transport_test). Processor time and memory with large bodies were not measured.

--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -4,10 +4,14 @@
 #include "generated/peer.pb.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <memory>
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <openssl/params.h>
 
 namespace geraniumpin {
 
@@ -86,7 +90,7 @@
 }
 
 void
-Write(const CallRequest& aFrom, wire::Envelope& aEnvelope)
+Write(const CallRequest& aFrom, wire::Envelope& aEnvelope, bool aHasBody)
 {
   auto& to = *aEnvelope.mutable_call_request();
   Write(aFrom.id_, *to.mutable_id());
@@ -101,7 +105,7 @@
   to.set_host(aFrom.host_);
   to.set_path(aFrom.path_);
   WriteHeaders(aFrom.headers_, to.mutable_headers());
-  if (aFrom.body_) {
+  if (aHasBody && aFrom.body_) {
     to.set_body(*aFrom.body_);
   }
   to.set_idempotency_key(aFrom.idempotencyKey_);
@@ -113,7 +117,7 @@
 }
 
 Payload
-Read(const wire::CallRequest& aFrom)
+Read(const wire::CallRequest& aFrom, const Body& aDetachedBody)
 {
   return CallRequest{ .id_ = Read(aFrom.id()),
                       .attempt_ = aFrom.attempt(),
@@ -127,7 +131,7 @@
                       .host_ = aFrom.host(),
                       .path_ = aFrom.path(),
                       .headers_ = ReadHeaders(aFrom.headers()),
-                      .body_ = MakeBody(aFrom.body()),
+                      .body_ = aDetachedBody ? aDetachedBody : MakeBody(aFrom.body()),
                       .idempotencyKey_ = aFrom.idempotency_key(),
                       .remaining_ = FromMicroseconds(aFrom.remaining_us()),
                       .queueTimeout_ = FromMicroseconds(aFrom.patience_us()),
@@ -137,7 +141,7 @@
 }
 
 void
-Write(const CallReply& aFrom, wire::Envelope& aEnvelope)
+Write(const CallReply& aFrom, wire::Envelope& aEnvelope, bool aHasBody)
 {
   auto& to = *aEnvelope.mutable_call_reply();
   Write(aFrom.id_, *to.mutable_id());
@@ -146,7 +150,7 @@
   to.set_reason(static_cast<std::uint32_t>(aFrom.answer_.reason_));
   to.set_status(aFrom.answer_.status_);
   WriteHeaders(aFrom.answer_.headers_, to.mutable_headers());
-  if (aFrom.answer_.body_) {
+  if (aHasBody && aFrom.answer_.body_) {
     to.set_body(*aFrom.answer_.body_);
   }
   to.set_retry_after_us(Microseconds(aFrom.answer_.retryAfter_));
@@ -180,7 +184,7 @@
 }
 
 Answer
-ReadAnswer(const wire::CallReply& aFrom)
+ReadAnswer(const wire::CallReply& aFrom, const Body& aDetachedBody)
 {
   if (!IsValidAnswer(aFrom)) {
     return Answer::WithoutContent(Outcome::Unknown, Reason::ConnectionBroken);
@@ -189,7 +193,7 @@
            .reason_ = static_cast<Reason>(aFrom.reason()),
            .status_ = aFrom.status(),
            .headers_ = ReadHeaders(aFrom.headers()),
-           .body_ = MakeBody(aFrom.body()),
+           .body_ = aDetachedBody ? aDetachedBody : MakeBody(aFrom.body()),
            .retryAfter_ = FromMicroseconds(aFrom.retry_after_us()) };
 }
 
@@ -217,7 +221,7 @@
 }
 
 std::optional<Payload>
-Read(const wire::CallReply& aFrom)
+Read(const wire::CallReply& aFrom, const Body& aDetachedBody)
 {
   if (aFrom.outcome() > static_cast<std::uint32_t>(Outcome::Unknown) ||
       aFrom.reason() > static_cast<std::uint32_t>(kLastReason)) {
@@ -226,7 +230,7 @@
   return CallReply{
     .id_ = Read(aFrom.id()),
     .attempt_ = aFrom.attempt(),
-    .answer_ = ReadAnswer(aFrom),
+    .answer_ = ReadAnswer(aFrom, aDetachedBody),
     .loadReport_ = { aFrom.load(), aFrom.takes_work(), ReadShare(aFrom.saturation()) },
     .queueTime_ = FromMicroseconds(aFrom.queued_us()),
     .instanceTime_ = FromMicroseconds(aFrom.ran_us()),
@@ -433,13 +437,16 @@
 }
 
 std::optional<Payload>
-ReadPayload(const wire::Envelope& aFrom)
+ReadPayload(const wire::Envelope& aFrom, const Body& aDetachedBody)
 {
+  if (aDetachedBody && !aFrom.has_call_request() && !aFrom.has_call_reply()) {
+    return std::nullopt;
+  }
   switch (aFrom.payload_case()) {
     case wire::Envelope::kCallRequest:
-      return Read(aFrom.call_request());
+      return Read(aFrom.call_request(), aDetachedBody);
     case wire::Envelope::kCallReply:
-      return Read(aFrom.call_reply());
+      return Read(aFrom.call_reply(), aDetachedBody);
     case wire::Envelope::kCallCancel:
       return Read(aFrom.call_cancel());
     case wire::Envelope::kVersionPull:
@@ -467,8 +474,20 @@
 } // namespace
 } // namespace impl
 
+Body
+FindDetachableBody(const Payload& aPayload)
+{
+  Body body;
+  if (const auto* request = std::get_if<CallRequest>(&aPayload)) {
+    body = request->body_;
+  } else if (const auto* reply = std::get_if<CallReply>(&aPayload)) {
+    body = reply->answer_.body_;
+  }
+  return body && body->size() >= kMinDetachedBodyBytes ? body : nullptr;
+}
+
 void
-AppendEnvelope(const Envelope& aEnvelope, std::string& aBytes)
+AppendEnvelope(const Envelope& aEnvelope, BodyPlace aBodyPlace, std::string& aBytes)
 {
   wire::Envelope message;
   message.set_sender(aEnvelope.sender_.Text());
@@ -481,7 +500,17 @@
     link.set_confirmed_us(Microseconds(aEnvelope.link_->confirmed_));
     link.set_replacements(aEnvelope.link_->replacements_);
   }
-  std::visit([&](const auto& aPayload) { impl::Write(aPayload, message); }, aEnvelope.payload_);
+  const bool hasBody =
+    aBodyPlace == BodyPlace::Inside || FindDetachableBody(aEnvelope.payload_) == nullptr;
+  std::visit(
+    [&](const auto& aPayload) {
+      if constexpr (requires { impl::Write(aPayload, message, hasBody); }) {
+        impl::Write(aPayload, message, hasBody);
+      } else {
+        impl::Write(aPayload, message);
+      }
+    },
+    aEnvelope.payload_);
   message.set_accepts_frames(true);
   message.AppendToString(&aBytes);
 }
@@ -490,19 +519,19 @@
 EncodeEnvelope(const Envelope& aEnvelope)
 {
   std::string bytes;
-  AppendEnvelope(aEnvelope, bytes);
+  AppendEnvelope(aEnvelope, BodyPlace::Inside, bytes);
   return bytes;
 }
 
 std::optional<DecodedEnvelope>
-DecodeWithFeatures(std::string_view aBytes)
+DecodeWithFeatures(std::string_view aBytes, const Body& aDetachedBody)
 {
   wire::Envelope message;
   if (!message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
     return std::nullopt;
   }
   const auto sender = NodeAddress::Parse(message.sender());
-  auto payload = impl::ReadPayload(message);
+  auto payload = impl::ReadPayload(message, aDetachedBody);
   if (!sender || !payload) {
     return std::nullopt;
   }
@@ -538,12 +567,45 @@
   return tag;
 }
 
+std::string
+ComputeAuthenticationTag(std::string_view aFirst,
+                         std::string_view aSecond,
+                         std::string_view aPeerKey)
+{
+  // Lives for the process; each fetch searches the providers of the library.
+  static EVP_MAC* const mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  const std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)> context(EVP_MAC_CTX_new(mac),
+                                                                          EVP_MAC_CTX_free);
+  std::string digest = "SHA256";
+  const std::array parameters{ OSSL_PARAM_construct_utf8_string(
+                                 OSSL_MAC_PARAM_DIGEST, digest.data(), digest.size()),
+                               OSSL_PARAM_construct_end() };
+  const auto bytes = [](std::string_view aPart) {
+    return reinterpret_cast<const unsigned char*>(aPart.data());
+  };
+  std::string tag(impl::kTagBytes, '\0');
+  std::size_t length = 0;
+  const bool done =
+    context != nullptr &&
+    EVP_MAC_init(context.get(), bytes(aPeerKey), aPeerKey.size(), parameters.data()) == 1 &&
+    EVP_MAC_update(context.get(), bytes(aFirst), aFirst.size()) == 1 &&
+    EVP_MAC_update(context.get(), bytes(aSecond), aSecond.size()) == 1 &&
+    EVP_MAC_final(
+      context.get(), reinterpret_cast<unsigned char*>(tag.data()), &length, tag.size()) == 1;
+  return done ? tag : std::string();
+}
+
 bool
 IsAuthentic(std::string_view aBytes, std::string_view aTag, std::string_view aPeerKey)
 {
-  const auto expected = ComputeAuthenticationTag(aBytes, aPeerKey);
-  return aTag.size() == expected.size() &&
-         CRYPTO_memcmp(aTag.data(), expected.data(), expected.size()) == 0;
+  return AreEqualTags(aTag, ComputeAuthenticationTag(aBytes, aPeerKey));
+}
+
+bool
+AreEqualTags(std::string_view aReceived, std::string_view aComputed)
+{
+  return aReceived.size() == impl::kTagBytes && aComputed.size() == impl::kTagBytes &&
+         CRYPTO_memcmp(aReceived.data(), aComputed.data(), impl::kTagBytes) == 0;
 }
 
 } // namespace geraniumpin
--- a/src/adapters/connection/peer_transport.cpp
+++ b/src/adapters/connection/peer_transport.cpp
@@ -4,8 +4,10 @@
 #include "peer_frame.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <glog/logging.h>
 #include <map>
+#include <memory>
 #include <set>
 #include <sys/eventfd.h>
 #include <sys/resource.h>
@@ -67,6 +69,46 @@
   return { static_cast<const char*>(aMessage.data()), aMessage.size() };
 }
 
+/// Bytes that ZeroMQ holds; its thread subtracts what it has sent.
+using ByteCount = std::shared_ptr<std::atomic<std::size_t>>;
+
+ByteCount
+MakeByteCount()
+{
+  return std::make_shared<std::atomic<std::size_t>>(0);
+}
+
+/// Bytes that a part of a message refers to, counted until ZeroMQ releases them.
+struct QueuedPart
+{
+  const Body bytes_;
+  const ByteCount all_;
+  const ByteCount ofPeer_;
+};
+
+/// Called on ZeroMQ's thread, so it only counts and drops references.
+void
+ReleasePart(void* /*aData*/, void* aPart)
+{
+  const std::unique_ptr<QueuedPart> part(static_cast<QueuedPart*>(aPart));
+  part->all_->fetch_sub(part->bytes_->size());
+  part->ofPeer_->fetch_sub(part->bytes_->size());
+}
+
+/// Makes a part of a message without a copy.
+zmq::message_t
+MakePart(const Body& aBytes, const ByteCount& aAll, const ByteCount& aOfPeer)
+{
+  auto part = std::make_unique<QueuedPart>(QueuedPart{ aBytes, aAll, aOfPeer });
+  // ZeroMQ only reads what it sends.
+  auto* data = const_cast<char*>(aBytes->data()); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+  zmq::message_t message(data, aBytes->size(), ReleasePart, part.get());
+  (void)part.release(); // the message owns it
+  aAll->fetch_add(aBytes->size());
+  aOfPeer->fetch_add(aBytes->size());
+  return message;
+}
+
 } // namespace
 } // namespace impl
 
@@ -78,21 +120,23 @@
     zmq::socket_t socket_;
     TimePoint lastUsedAt_;
     FrameWriter frame_; ///< messages of this turn
+    impl::ByteCount queued_ = impl::MakeByteCount();
   };
 
   Impl(EventLoop& aLoop,
        const NodeAddress& aSelf,
        std::string aPeerKey,
-       std::size_t aMaxMessageBytes,
+       const TransportLimits& aLimits,
        Receiver aReceiver)
     : self_(aSelf)
     , peerKey_(std::move(aPeerKey))
+    , limits_(aLimits)
     , receiver_(std::move(aReceiver))
     , inbound_(context_, zmq::socket_type::pull)
   {
     inbound_.set(zmq::sockopt::rcvhwm, impl::kMaxQueuedMessages);
     inbound_.set(zmq::sockopt::linger, 0);
-    inbound_.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(aMaxMessageBytes));
+    inbound_.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(aLimits.maxMessageBytes_));
     try {
       inbound_.bind("tcp://" + aSelf.Text());
     } catch (const zmq::error_t& error) {
@@ -167,18 +211,20 @@
       return 0;
     }
     const bool isFrame = IsFrame(impl::View(body));
-    zmq::message_t tag;
-    const bool hasTag =
-      !isFrame && body.more() && inbound_.recv(tag, zmq::recv_flags::dontwait).has_value();
-    discardsRest_ = hasTag ? tag.more() : body.more();
+    const bool expectsSecond = !isFrame || HasDetachedBody(impl::View(body));
+    zmq::message_t second; // the tag of a message without a frame, or the body of a frame
+    const bool hasSecond =
+      expectsSecond && body.more() && inbound_.recv(second, zmq::recv_flags::dontwait).has_value();
+    discardsRest_ = hasSecond ? second.more() : body.more();
     counters_.receivedFrames_ += 1;
-    counters_.receivedBytes_ += body.size() + tag.size();
-    aBytes += body.size() + tag.size();
-    if (isFrame && !discardsRest_) {
-      return ReadMessages(impl::View(body), aBatch);
+    counters_.receivedBytes_ += body.size() + second.size();
+    aBytes += body.size() + second.size();
+    if (isFrame && !discardsRest_ && hasSecond == expectsSecond) {
+      return ReadMessages(impl::View(body), impl::View(second), aBatch);
     }
     counters_.receivedMessages_ += 1;
-    if (!hasTag || discardsRest_ || !IsAuthentic(impl::View(body), impl::View(tag), peerKey_) ||
+    if (isFrame || !hasSecond || discardsRest_ ||
+        !IsAuthentic(impl::View(body), impl::View(second), peerKey_) ||
         !ReadMessage(impl::View(body), aBatch)) {
       counters_.refusedMessages_ += 1;
     }
@@ -186,17 +232,21 @@
   }
 
   /// Reads the messages of a frame; one that cannot be decoded is dropped alone.
-  std::size_t ReadMessages(std::string_view aFrame, std::vector<Envelope>& aBatch)
+  std::size_t ReadMessages(std::string_view aFrame,
+                           std::string_view aBody,
+                           std::vector<Envelope>& aBatch)
   {
-    const auto messages = ReadFrame(aFrame, peerKey_);
+    const auto messages = ReadFrame(aFrame, aBody, peerKey_);
     if (!messages || messages->empty()) {
       counters_.receivedMessages_ += 1;
       counters_.refusedMessages_ += 1;
       return 1;
     }
     counters_.receivedMessages_ += messages->size();
-    for (const auto message : *messages) {
-      if (!ReadMessage(message, aBatch)) {
+    const auto body = HasDetachedBody(aFrame) ? MakeBody(std::string(aBody)) : nullptr;
+    for (std::size_t i = 0; i < messages->size(); ++i) {
+      const bool isLast = i + 1 == messages->size();
+      if (!ReadMessage((*messages)[i], aBatch, isLast ? body : nullptr)) {
         counters_.refusedMessages_ += 1;
       }
     }
@@ -204,9 +254,11 @@
   }
 
   /// Decodes an authentic message and records the form that its sender understands.
-  bool ReadMessage(std::string_view aBytes, std::vector<Envelope>& aBatch)
+  bool ReadMessage(std::string_view aBytes,
+                   std::vector<Envelope>& aBatch,
+                   const Body& aDetachedBody = nullptr)
   {
-    const auto decoded = DecodeWithFeatures(aBytes);
+    const auto decoded = DecodeWithFeatures(aBytes, aDetachedBody);
     if (!decoded) {
       return false;
     }
@@ -245,6 +297,10 @@
     if (link->frame_.Count() == 0) {
       unflushed_.push_back(aPeer);
     }
+    if (const auto body = FindDetachableBody(aMessage.payload_)) {
+      SendWithBody(*link, aMessage, body);
+      return;
+    }
     link->frame_.Append(aMessage);
     if (link->frame_.Bytes() >= impl::kMaxFrameBytes ||
         link->frame_.Count() >= impl::kMaxFrameMessages) {
@@ -256,34 +312,61 @@
   void SendWithoutFrame(Link& aLink, const Envelope& aMessage)
   {
     SendFrame(aLink); // keeps the order
-    const auto bytes = EncodeEnvelope(aMessage);
-    const auto tag = ComputeAuthenticationTag(bytes, peerKey_);
-    const auto flags = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
-    if (!aLink.socket_.send(zmq::buffer(bytes), flags)) {
+    const auto bytes = MakeBody(EncodeEnvelope(aMessage));
+    SendParts(aLink, bytes, MakeBody(ComputeAuthenticationTag(*bytes, peerKey_)), 1);
+  }
+
+  /// Sends a message whose body is a part of its own, with the messages before it. One that exceeds
+  /// a limit is dropped without them.
+  void SendWithBody(Link& aLink, const Envelope& aMessage, const Body& aBody)
+  {
+    if (!Admits(aLink, aLink.frame_.Bytes() + aBody->size() + impl::kMaxFrameBytes)) {
       counters_.droppedMessages_ += 1;
       return;
     }
-    (void)aLink.socket_.send(zmq::buffer(tag), zmq::send_flags::dontwait);
+    aLink.frame_.Append(aMessage);
+    SendFrame(aLink, aBody);
+  }
+
+  [[nodiscard]] bool Admits(const Link& aLink, std::size_t aBytes) const noexcept
+  {
+    const auto admits = [&](const impl::ByteCount& aQueued, std::size_t aLimit) {
+      const auto queued = aQueued->load();
+      return queued <= aLimit && aBytes <= aLimit - queued;
+    };
+    return admits(queued_, limits_.maxQueuedBytes_) &&
+           admits(aLink.queued_, limits_.maxQueuedBytesPerPeer_);
+  }
+
+  /// Sends one part, or two if the second is not null; drops and counts the messages in them beyond
+  /// a limit.
+  void SendParts(Link& aLink, const Body& aFirst, const Body& aSecond, std::size_t aMessages)
+  {
+    const auto bytes = aFirst->size() + (aSecond ? aSecond->size() : 0);
+    const auto flags =
+      aSecond ? zmq::send_flags::dontwait | zmq::send_flags::sndmore : zmq::send_flags::dontwait;
+    if (!Admits(aLink, bytes) ||
+        !aLink.socket_.send(impl::MakePart(aFirst, queued_, aLink.queued_), flags)) {
+      counters_.droppedMessages_ += aMessages;
+      return;
+    }
+    if (aSecond) { // ZeroMQ accepts all parts of a message of which it accepted the first
+      (void)aLink.socket_.send(impl::MakePart(aSecond, queued_, aLink.queued_),
+                               zmq::send_flags::dontwait);
+    }
     counters_.sentFrames_ += 1;
-    counters_.sentMessages_ += 1;
-    counters_.sentBytes_ += bytes.size() + tag.size();
+    counters_.sentMessages_ += aMessages;
+    counters_.sentBytes_ += bytes;
   }
 
   /// Sends the frame of a link, unless it is empty.
-  void SendFrame(Link& aLink)
+  void SendFrame(Link& aLink, const Body& aBody = nullptr)
   {
     const auto count = aLink.frame_.Count();
     if (count == 0) {
       return;
     }
-    const auto bytes = aLink.frame_.Finish(peerKey_);
-    if (!aLink.socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
-      counters_.droppedMessages_ += count;
-      return;
-    }
-    counters_.sentFrames_ += 1;
-    counters_.sentMessages_ += count;
-    counters_.sentBytes_ += bytes.size();
+    SendParts(aLink, MakeBody(aLink.frame_.Finish(peerKey_, aBody)), aBody, count);
   }
 
   void Flush()
@@ -363,6 +446,8 @@
   SystemClock clock_;
   NodeAddress self_;
   std::string peerKey_;
+  const TransportLimits limits_;
+  const impl::ByteCount queued_ = impl::MakeByteCount(); ///< of all links, closed ones included
   Receiver receiver_;
   zmq::context_t context_ = impl::MakeContext();
   zmq::socket_t inbound_;
@@ -381,13 +466,9 @@
 ZmqPeerTransport::ZmqPeerTransport(EventLoop& aLoop,
                                    const NodeAddress& aSelf,
                                    std::string aPeerKey,
-                                   std::size_t aMaxMessageBytes,
+                                   const TransportLimits& aLimits,
                                    Receiver aReceiver)
-  : impl_(std::make_unique<Impl>(aLoop,
-                                 aSelf,
-                                 std::move(aPeerKey),
-                                 aMaxMessageBytes,
-                                 std::move(aReceiver)))
+  : impl_(std::make_unique<Impl>(aLoop, aSelf, std::move(aPeerKey), aLimits, std::move(aReceiver)))
 {
 }
 
@@ -414,6 +495,7 @@
 const TransportCounters&
 ZmqPeerTransport::Counters() const noexcept
 {
+  impl_->counters_.queuedBytes_ = impl_->queued_->load();
   return impl_->counters_;
 }
 
--- a/src/adapters/connection/peer_transport.hpp
+++ b/src/adapters/connection/peer_transport.hpp
@@ -3,6 +3,7 @@
 #include "../process/event_loop.hpp"
 #include "../process/system_clock.hpp"
 #include "geraniumpin/connection/message.hpp"
+#include "geraniumpin/connection/transport_limits.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -21,7 +22,8 @@
   std::uint64_t receivedMessages_ = 0;
   std::uint64_t receivedBytes_ = 0;
   std::uint64_t refusedMessages_ = 0; ///< malformed or not authentic
-  std::uint64_t droppedMessages_ = 0; ///< the queue to the peer was full, or no socket was left
+  std::uint64_t droppedMessages_ = 0; ///< beyond a limit of a queue, or no socket was left
+  std::uint64_t queuedBytes_ = 0;     ///< that wait to be sent, now
 
   auto operator<=>(const TransportCounters&) const = default;
 };
@@ -43,13 +45,14 @@
   ZmqPeerTransport(EventLoop& aLoop,
                    const NodeAddress& aSelf,
                    std::string aPeerKey,
-                   std::size_t aMaxMessageBytes,
+                   const TransportLimits& aLimits,
                    Receiver aReceiver);
   ~ZmqPeerTransport();
   ZmqPeerTransport(const ZmqPeerTransport&) = delete;
   ZmqPeerTransport& operator=(const ZmqPeerTransport&) = delete;
 
-  /// \brief Queues a message to a peer until Flush; drops and counts it if the queue is full.
+  /// \brief Queues a message to a peer until Flush; drops and counts it beyond a limit. A body that
+  /// travels as a part of its own is not copied.
   void Send(const NodeAddress& aPeer, const Envelope& aMessage);
 
   /// \brief Sends the messages of this turn; required before the loop waits.
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -100,7 +100,8 @@
                { "received_messages", transport.receivedMessages_ },
                { "received_bytes", transport.receivedBytes_ },
                { "refused_messages", transport.refusedMessages_ },
-               { "dropped_messages", transport.droppedMessages_ } } } };
+               { "dropped_messages", transport.droppedMessages_ },
+               { "queued_bytes", transport.queuedBytes_ } } } };
 }
 
 nlohmann::json
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -97,7 +97,7 @@
     , transport_(loop_,
                  aSettings.PeerListenAddress(),
                  aSettings.PeerKey(),
-                 kMaxMessageBytes,
+                 MakeTransportLimits(aSettings.Machine(), aSettings.MaxBodyBytes()),
                  [this](const Envelope& aEnvelope) { node_.OnEnvelope(aEnvelope); })
     , backend_(backendHttp_,
                aSettings.BackendServerAddress(),
@@ -255,8 +255,6 @@
   static constexpr std::chrono::milliseconds kPlatformIdleTimeout{ 10000 };
   static constexpr std::size_t kMaxPlatformBytes = 16U << 20U;
   static constexpr std::size_t kMaxReadyBytes = 1024;
-  // A starting node gets the whole configuration in one message.
-  static constexpr std::size_t kMaxMessageBytes = 64U << 20U;
   static constexpr int kExitNotDrained = 3;
 
   Settings fileSettings_;
--- a/tests/connection/peer_transport_test.cpp
+++ b/tests/connection/peer_transport_test.cpp
@@ -17,6 +17,7 @@
 
 const std::string kPeerKey = "0123456789abcdef";
 constexpr std::size_t kMaxMessageBytes = 1U << 20U;
+constexpr TransportLimits kLimits{ .maxMessageBytes_ = kMaxMessageBytes };
 /// Messages and parts of messages that one turn of the loop may handle.
 constexpr std::uint64_t kMaxTurnMessages = 256;
 
@@ -57,10 +58,10 @@
   EventLoop loop_;
   NodeAddress self_ = Address("127.0.0.1:47613");
   std::vector<std::uint64_t> delivered_;
-  ZmqPeerTransport
-    transport_{ loop_, self_, kPeerKey, kMaxMessageBytes, [this](const Envelope& aMessage) {
-                 delivered_.push_back(std::get<CallCancel>(aMessage.payload_).id_.sequence_);
-               } };
+  ZmqPeerTransport transport_{ loop_, self_, kPeerKey, kLimits, [this](const Envelope& aMessage) {
+                                delivered_.push_back(
+                                  std::get<CallCancel>(aMessage.payload_).id_.sequence_);
+                              } };
   zmq::context_t context_{ 1 };
   zmq::socket_t peer_{ context_, zmq::socket_type::push };
   std::uint64_t sequence_ = 0;
@@ -158,7 +159,7 @@
   constexpr int kPeers = 4500;
   EventLoop loop;
   const auto self = Address("127.0.0.1:27614");
-  ZmqPeerTransport transport(loop, self, kPeerKey, kMaxMessageBytes, [](const Envelope&) {});
+  ZmqPeerTransport transport(loop, self, kPeerKey, kLimits, [](const Envelope&) {});
   for (int i = 0; i < kPeers; ++i) {
     const auto peer =
       Address("127.9." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200) + ":7000");
@@ -228,11 +229,11 @@
   NodeAddress a_ = Address("127.0.0.1:47615");
   NodeAddress b_ = Address("127.0.0.1:47616");
   std::vector<std::uint64_t> delivered_;
-  ZmqPeerTransport transportOfA_{ loop_, a_, kPeerKey, kMaxMessageBytes, [](const Envelope&) {} };
-  ZmqPeerTransport
-    transportOfB_{ loop_, b_, kPeerKey, kMaxMessageBytes, [this](const Envelope& aMessage) {
-                    delivered_.push_back(std::get<CallCancel>(aMessage.payload_).id_.sequence_);
-                  } };
+  ZmqPeerTransport transportOfA_{ loop_, a_, kPeerKey, kLimits, [](const Envelope&) {} };
+  ZmqPeerTransport transportOfB_{ loop_, b_, kPeerKey, kLimits, [this](const Envelope& aMessage) {
+                                   delivered_.push_back(
+                                     std::get<CallCancel>(aMessage.payload_).id_.sequence_);
+                                 } };
 };
 
 } // namespace
@@ -318,3 +319,91 @@
   BOOST_TEST((delivered_ == std::vector<std::uint64_t>{ 1, 3 }));
   BOOST_TEST(transport_.Counters().refusedMessages_ == 4U);
 }
+
+namespace {
+
+/// Two transports, of which A knows that B accepts frames.
+struct BodyPair
+{
+  static constexpr std::size_t kMaxBodyBytes = 67'108'864;
+  static constexpr std::size_t kMaxQueued = 2 * kMaxBodyBytes;
+
+  BodyPair()
+  {
+    transportOfB_.Send(a_, Request(b_, 0, MakeBody("")));
+    Run([&] { return transportOfA_.Counters().receivedMessages_ == 1; });
+  }
+
+  static Envelope Request(const NodeAddress& aSender, std::uint64_t aSequence, const Body& aBody)
+  {
+    return { .sender_ = aSender,
+             .senderIncarnation_ = 1,
+             .receiverIncarnation_ = 0,
+             .senderVersion_ = {},
+             .payload_ = CallRequest{ .id_ = { 1, aSequence }, .body_ = aBody } };
+  }
+
+  template<class Condition>
+  void Run(Condition aDone)
+  {
+    for (int turn = 0; turn < 500 && !aDone(); ++turn) {
+      loop_.RunOnce(clock_.Now() + milliseconds(10));
+    }
+  }
+
+  SystemClock clock_;
+  EventLoop loop_;
+  NodeAddress a_ = Address("127.0.0.1:47617");
+  NodeAddress b_ = Address("127.0.0.1:47618");
+  std::vector<Body> bodies_; ///< that B received
+  const TransportLimits limits_{ .maxQueuedBytes_ = kMaxQueued,
+                                 .maxQueuedBytesPerPeer_ = kMaxQueued - 1'000'000 };
+  ZmqPeerTransport transportOfA_{ loop_, a_, kPeerKey, limits_, [](const Envelope&) {} };
+  ZmqPeerTransport
+    transportOfB_{ loop_, b_, kPeerKey, TransportLimits{}, [this](const Envelope& aMessage) {
+                    bodies_.push_back(std::get<CallRequest>(aMessage.payload_).body_);
+                  } };
+};
+
+} // namespace
+
+// A body of max_body_bytes exceeded the limit of a message together with its envelope, so that it
+// never arrived and closed the link.
+BOOST_FIXTURE_TEST_CASE(a_body_of_the_largest_size_arrives_with_the_messages_around_it, BodyPair)
+{
+  const auto body = MakeBody(std::string(kMaxBodyBytes, 'x'));
+  transportOfA_.Send(b_, Request(a_, 1, MakeBody("first")));
+  transportOfA_.Send(b_, Request(a_, 2, body));
+  transportOfA_.Send(b_, Request(a_, 3, MakeBody("last")));
+  transportOfA_.Flush();
+  Run([&] { return bodies_.size() == 3; });
+  BOOST_REQUIRE(bodies_.size() == 3U);
+  BOOST_TEST(*bodies_[0] == "first");
+  BOOST_TEST((*bodies_[1] == *body));
+  BOOST_TEST(*bodies_[2] == "last");
+}
+
+// Without a bound, bodies for a peer that does not read exhaust the memory of the sender.
+BOOST_FIXTURE_TEST_CASE(what_waits_for_a_peer_is_counted_bounded_and_released, BodyPair)
+{
+  const auto silent = Address("127.9.9.9:7000"); // nobody listens
+  const auto body = MakeBody(std::string(kMaxBodyBytes, 'x'));
+  transportOfA_.Send(silent, Request(a_, 1, body));
+  BOOST_TEST(transportOfA_.Counters().queuedBytes_ >= kMaxBodyBytes);
+  transportOfA_.Send(silent, Request(a_, 2, body));
+  BOOST_TEST(transportOfA_.Counters().droppedMessages_ == 1U);
+  BOOST_TEST(transportOfA_.Counters().queuedBytes_ < limits_.maxQueuedBytesPerPeer_);
+  transportOfA_.Reconnect(silent);
+  Run([&] { return transportOfA_.Counters().queuedBytes_ == 0; });
+  BOOST_TEST(transportOfA_.Counters().queuedBytes_ == 0U);
+}
+
+// A body that is copied doubles the memory of a request at its sender.
+BOOST_FIXTURE_TEST_CASE(a_detached_body_is_shared_with_its_sender_until_it_was_sent, BodyPair)
+{
+  const auto body = MakeBody(std::string(kMaxBodyBytes, 'x'));
+  transportOfA_.Send(b_, Request(a_, 1, body));
+  BOOST_TEST(body.use_count() > 1); // 64 MB exceed the buffers of the connection
+  Run([&] { return bodies_.size() == 1 && transportOfA_.Counters().queuedBytes_ == 0; });
+  BOOST_TEST(body.use_count() == 1);
+}
