--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -265,6 +265,8 @@
   }
 
   [[nodiscard]] std::size_t InFlight() const noexcept { return calls_.size(); }
+  /// \brief Sets the saturation of this node, above which it does not hedge.
+  void SetSaturation(double aLevel) noexcept { saturation_ = aLevel; }
   [[nodiscard]] InstanceLoadTable& LoadTable() noexcept { return loadTable_; }
 
   /// \brief Computes the rank of a request; the lowest is served first.
@@ -585,6 +587,7 @@
              .maxInstances_ = route.attempts_,
              .isServiceRefusing_ = admission_.IsRefusing(aCall.service_, context_.Now()),
              .serviceLoad_ = aServiceLoad,
+             .nodeSaturation_ = saturation_,
              .allowsRetry_ = budget != retryBudgets_.end() && budget->second.AllowsRetry(),
              .allowsHedge_ = hedging_.AllowsHedge(aCall.service_) };
   }
@@ -851,6 +854,7 @@
   InstanceLoadTable loadTable_;
   EntryAdmission admission_;
   Hedging hedging_;
+  double saturation_ = 0; ///< of this node, 0 to 1
   DestinationChoice destinations_;
   std::map<std::string, RetryBudget> retryBudgets_; ///< by service
   Calls calls_;
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -352,7 +352,9 @@
   {
     if (turnStartedAt_ == TimePoint{}) {
       turnStartedAt_ = context_.Now();
-      owner_.SetSaturation(saturation_.Level(turnStartedAt_));
+      const auto level = saturation_.Level(turnStartedAt_);
+      owner_.SetSaturation(level);
+      entry_.SetSaturation(level);
     }
   }
 
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -113,12 +113,15 @@
                { "bodies_timed_out", callers.bodiesTimedOut_ },
                { "responses_dropped", callers.responsesDropped_ } } },
            { "transport",
-             { { "sent_messages", transport.sentMessages_ },
+             { { "sent_frames", transport.sentFrames_ },
+               { "sent_messages", transport.sentMessages_ },
                { "sent_bytes", transport.sentBytes_ },
+               { "received_frames", transport.receivedFrames_ },
                { "received_messages", transport.receivedMessages_ },
                { "received_bytes", transport.receivedBytes_ },
                { "refused_messages", transport.refusedMessages_ },
-               { "dropped_messages", transport.droppedMessages_ } } } };
+               { "dropped_messages", transport.droppedMessages_ },
+               { "queued_bytes", transport.queuedBytes_ } } } };
 }
 
 nlohmann::json
--- a/src/adapters/process/node_process.hpp
+++ b/src/adapters/process/node_process.hpp
@@ -100,7 +100,7 @@
     , transport_(loop_,
                  aSettings.PeerListenAddress(),
                  aSettings.PeerKey(),
-                 kMaxMessageBytes,
+                 MakeTransportLimits(aSettings.Machine(), aSettings.MaxBodyBytes()),
                  [this](const Envelope& aEnvelope) { node_.OnEnvelope(aEnvelope); })
     , backend_(backendHttp_,
                aSettings.BackendServerAddress(),
@@ -230,7 +230,7 @@
     if (signals_.TakeReloadRequest() || clock_.Now() >= settingsWatch_.NextDeadline()) {
       ReloadSettings();
     }
-    // TransportCounters does not state the bytes that wait for peers yet.
+    transport_.Flush();
     node_.OnTurnEnd(settings_.OverloadControl() ? processorMeter_.Sample(clock_.Now())
                                                 : std::nullopt);
     log_.Flush();
@@ -275,8 +275,6 @@
   static constexpr std::chrono::milliseconds kPlatformIdleTimeout{ 10000 };
   static constexpr std::size_t kMaxPlatformBytes = 16U << 20U;
   static constexpr std::size_t kMaxReadyBytes = 1024;
-  // A starting node gets the whole configuration in one message.
-  static constexpr std::size_t kMaxMessageBytes = 64U << 20U;
   static constexpr int kExitNotDrained = 3;
   /// Allocations of this size return to the system when they are freed; the initial threshold of
   /// the C library.
