--- a/tests/process/node_saturation_test.cpp
+++ b/tests/process/node_saturation_test.cpp
@@ -105,12 +105,13 @@
   auto now = kStart;
   for (int i = 0; i < 2000; ++i) {
     now += milliseconds((i * 37) % 400);
-    saturation = saturation.AfterTurn({ .wait_ = milliseconds((i * 53) % 3000),
-                                        .turn_ = milliseconds((i * 71) % 900),
-                                        .coresUsed_ = (i % 17) * 0.02,
-                                        .queuedLinkBytes_ = (i % 5) * 1'000'000ULL },
-                                      kMachine,
-                                      now);
+    saturation =
+      saturation.AfterTurn({ .wait_ = milliseconds((i * 53) % 3000),
+                             .turn_ = milliseconds((i * 71) % 900),
+                             .coresUsed_ = (i % 17) * 0.02,
+                             .queuedLinkBytes_ = static_cast<std::uint64_t>(i % 5) * 1'000'000 },
+                           kMachine,
+                           now);
     BOOST_TEST(saturation.Level(now) >= 0);
     BOOST_TEST(saturation.Level(now) <= 1);
   }
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -792,9 +792,11 @@
 StartWithOverloadControl(FakeMesh& aMesh)
 {
   aMesh.overloadControl_ = true;
-  const DocumentOptions options{ .domains_ = 1, .nodesPerDomain_ = 2 };
+  DocumentOptions options{ .domains_ = 1, .nodesPerDomain_ = 2 };
+  options.rate_ = 0; // unlimited, so that no request waits for a token
   const auto nodes = StartAll(aMesh, options);
-  auto document = MakeDocument({ .domains_ = 1, .nodesPerDomain_ = 2, .version_ = 2 });
+  options.version_ = 2;
+  auto document = MakeDocument(options);
   document["teams"][1]["priority"] = 5;
   aMesh.Publish(Encode(document));
   aMesh.Run(std::chrono::seconds(2));
