Switch overload decisions on where no team limits are stated; large bodies by the link

Cause: without team limits nothing bounds what callers ask for. Change: the template switches balancing=completion, fleet_admission and overload_control on where the platform states no quota_over. An owner refuses a large body that others on the link delayed by more than 150 ms, which lowers the share that entry nodes send.

--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -4,6 +4,7 @@
 #include "geraniumpin/process/call_routes.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/failure_breaker.hpp"
+#include "geraniumpin/process/link_admission.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/pace_monitor.hpp"
 #include "geraniumpin/process/room_tracker.hpp"
@@ -373,7 +374,9 @@
       aId,      aRequest.team_, ExpectedServiceTime(aRequest.route_),
       deadline, rank,           std::min(deadline, now + queueTimeout)
     };
-    const auto admitted = admission_.Admit(work, now);
+    const auto admitted = HasLinkCapacity(aRequest, aDelay)
+                            ? admission_.Admit(work, now)
+                            : tl::make_unexpected(Reason::Overloaded);
     WriteAdmission(aId, aRequest, admitted, aDelay);
     room_.Record(rank, admitted.has_value(), now);
     if (!admitted) {
@@ -390,6 +393,14 @@
     }
   }
 
+  [[nodiscard]] bool HasLinkCapacity(const CallRequest& aRequest, Duration aDelay) const
+  {
+    const auto& settings = context_.NodeSettings();
+    const auto bytes = aRequest.body_ ? aRequest.body_->size() : 0;
+    return !settings.OverloadControl() ||
+           !ExceedsLink(bytes, aDelay, settings.Machine().linkBitsPerSecond_);
+  }
+
   /// Without teams, an entry node cannot tell the calls of its backend server from the requests of
   /// its callers.
   [[nodiscard]] bool IsCallWithoutTeams(const NodeAddress& aEntry, const CallRequest& aRequest)
--- a/include/geraniumpin/process/service_admission.hpp
+++ b/include/geraniumpin/process/service_admission.hpp
@@ -15,9 +15,9 @@
 
 /// \brief Share of the requests of one rank that an entry node admits to a service.
 ///
-/// The level moves towards the one at which the owners would admit nearly all of what they get. Each
-/// step covers a part of the difference only, since the statements of the owners lag behind, and
-/// nodes that receive the same statements at the same time would oscillate otherwise.
+/// The level moves towards the one at which the owners would admit nearly all of what they get.
+/// Each step covers a part of the difference only, since the statements of the owners lag behind,
+/// and nodes that receive the same statements at the same time would oscillate otherwise.
 class AdmissionLevel
 {
 public:
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -80,6 +80,11 @@
         filled += Print(aEntry.value_);
       } else if (name == ",") {
         filled += aEntry.isLast_ ? "" : ",";
+      } else if (name.starts_with("^")) {
+        const auto closing = "{{/" + name.substr(1) + "}}";
+        const auto length = aText.find(closing);
+        filled += Find(name.substr(1)).is_null() ? Fill(aText.substr(0, length), aEntry) : "";
+        aText.remove_prefix(length + closing.size());
       } else if (name.starts_with("#")) {
         const auto closing = "{{/" + name.substr(1) + "}}";
         const auto length = aText.find(closing);
@@ -157,6 +162,23 @@
   BOOST_TEST((settings->Machine() == expected));
 }
 
+// Guards against deployments with team limits being served in another way than before.
+BOOST_AUTO_TEST_CASE(overload_is_decided_across_the_fleet_only_where_no_team_limits_are_stated)
+{
+  auto fields = MakePlatformFields();
+  const auto limited = FillDeployedTemplate(fields);
+  BOOST_REQUIRE(limited.has_value());
+  BOOST_TEST(!limited->HasFleetAdmission());
+  BOOST_TEST(!limited->OverloadControl());
+  BOOST_TEST((limited->BalancingMode() == Balancing::Load));
+  fields.at("bounds").erase("quota_over");
+  const auto unlimited = FillDeployedTemplate(fields);
+  BOOST_REQUIRE(unlimited.has_value());
+  BOOST_TEST(unlimited->HasFleetAdmission());
+  BOOST_TEST(unlimited->OverloadControl());
+  BOOST_TEST((unlimited->BalancingMode() == Balancing::Completion));
+}
+
 // Guards against a template that is no JSON, with which no node starts, where the platform states
 // no limits.
 BOOST_AUTO_TEST_CASE(limits_that_are_not_stated_stay_unknown)
