--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -794,7 +794,7 @@
   aMesh.overloadControl_ = true;
   DocumentOptions options{ .domains_ = 1, .nodesPerDomain_ = 2 };
   options.rate_ = 0; // unlimited, so that no request waits for a token
-  const auto nodes = StartAll(aMesh, options);
+  auto nodes = StartAll(aMesh, options);
   options.version_ = 2;
   auto document = MakeDocument(options);
   document["teams"][1]["priority"] = 5;
--- a/tests/standins/hostile_clients.cpp
+++ b/tests/standins/hostile_clients.cpp
@@ -26,7 +26,6 @@
 using namespace geraniumpin;
 
 constexpr int kPollMs = 100;
-constexpr std::size_t kStatusLineBytes = sizeof("HTTP/1.1 200") - 1;
 constexpr std::size_t kSendBytes = 64U << 10U;
 // Small, so that a response stays with the sender and not in the receiver's socket.
 constexpr int kUnreadBufferBytes = 4096;
