Log what each read of the platform changed, and when its revision falls below the version in force

The record of the incident could not tell a store that went back from a number with two contents or a missed change: no line said which read set the reader's revision, what the platform stated about itself, or that versions were refused as not newer. Volume is bounded by the read interval. A malformed era makes the answer a failed read. Nothing decides by the era yet.

--- a/include/geraniumpin/connection/config_watch.hpp
+++ b/include/geraniumpin/connection/config_watch.hpp
@@ -35,6 +35,8 @@
   std::vector<PublishedItem> items_;
   bool hasMore_ = false;       ///< further pages follow the last key
   std::uint64_t revision_ = 0; ///< of the platform when it answered
+  /// Rises each time that the platform comes back from an older copy; nothing if it states none.
+  std::optional<std::uint64_t> era_;
   std::string detail_;         ///< why it failed; for logs
 };
 
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -76,6 +76,7 @@
         return;
       case ReadResult::HistoryGone:
         context_.GetMetrics().Count("platform_history_gone");
+        context_.Write(DescribeRead("platform_history_gone", aRead, revision_));
         BeginListing();
         nextRead_ = context_.Now();
         return;
@@ -218,9 +219,51 @@
       }
     }
     // Later pages may contain later changes; the watch repeats all changes after the first page.
-    revision_ = *listing.revision_;
+    const auto previous = std::exchange(revision_, *listing.revision_);
     listing_.reset();
+    context_.GetMetrics().Count("platform_listings");
+    context_.Write(DescribeRead("platform_listed", aRead, previous));
     Publish();
+    TrackLag();
+  }
+
+  /// Describes what a read changed, in the terms that tell apart a store that went back, one
+  /// revision with two contents, and a change that was missed.
+  [[nodiscard]] LogEvent DescribeRead(std::string_view aEvent,
+                                      const ItemsRead& aRead,
+                                      std::uint64_t aPrevious) const
+  {
+    LogEvent event(aEvent);
+    event.With("revision", aRead.revision_)
+      .With("previous", aPrevious)
+      .With("era", aRead.era_ ? std::to_string(*aRead.era_) : "none")
+      .With("items", aRead.items_.size())
+      .With("version", context_.Versions().CurrentId().number_);
+    return event;
+  }
+
+  /// Logs when the revision of the platform falls below the version in force, and when it no longer
+  /// is: between the two, no change takes effect.
+  void TrackLag()
+  {
+    const bool isBehind = revision_ < context_.Versions().CurrentId().number_;
+    if (isBehind == behindSince_.has_value()) {
+      return;
+    }
+    if (isBehind) {
+      behindSince_ = context_.Now();
+      context_.GetMetrics().Count("platform_behind");
+      context_.Write(LogEvent("platform_behind", Severity::Warning)
+                       .With("revision", revision_)
+                       .With("version", context_.Versions().CurrentId().number_));
+      return;
+    }
+    const auto lasted = context_.Now() - *std::exchange(behindSince_, std::nullopt);
+    context_.GetMetrics().Record("platform_behind_ms", lasted);
+    context_.Write(LogEvent("platform_caught_up")
+                     .With("revision", revision_)
+                     .With("version", context_.Versions().CurrentId().number_)
+                     .With("behind_ms", Milliseconds(lasted)));
   }
 
   /// Ends a listing that has no end, without the items that only it has added.
@@ -241,13 +284,15 @@
                        .With("known", revision_));
       return;
     }
-    revision_ = aRead.revision_;
+    const auto previous = std::exchange(revision_, aRead.revision_);
     for (const auto& item : aRead.items_) {
       ApplyItem(item);
     }
     if (!aRead.items_.empty()) {
+      context_.Write(DescribeRead("platform_changed", aRead, previous));
       Publish();
     }
+    TrackLag();
   }
 
   void ApplyItem(const PublishedItem& aItem)
@@ -406,8 +451,9 @@
   TimePoint readSentAt_;                  ///< of the last read
   std::optional<Listing> listing_ = Listing{};
   std::uint64_t revision_ = 0;
-  std::uint64_t vmListRevision_ = 0; ///< number of lists of VMs that were applied
-  bool failing_ = false;             ///< the last read failed
+  std::uint64_t vmListRevision_ = 0;     ///< number of lists of VMs that were applied
+  std::optional<TimePoint> behindSince_; ///< set while revision_ is below the version in force
+  bool failing_ = false;                 ///< the last read failed
   Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
   bool hasRead_ = false;
   DocumentAssembly assembly_;
--- a/src/adapters/connection/json_platform.cpp
+++ b/src/adapters/connection/json_platform.cpp
@@ -37,6 +37,12 @@
     ItemsRead read{ .result_ = ReadResult::Complete,
                     .hasMore_ = root.at("more").get<bool>(),
                     .revision_ = root.at("revision").get<std::uint64_t>() };
+    if (root.contains("era")) {
+      if (!root.at("era").is_number_unsigned()) {
+        return { .detail_ = "malformed era" };
+      }
+      read.era_ = root.at("era").get<std::uint64_t>();
+    }
     for (const auto& item : root.at("items")) {
       const bool removed = !item.contains("value");
       read.items_.push_back(
