--- /dev/null
+++ b/tests/process/expiry_grace_test.cpp
@@ -0,0 +1,26 @@
+#define BOOST_TEST_MODULE expiry_grace
+#include <boost/test/included/unit_test.hpp>
+
+#include "../support/reader_fixture.hpp"
+
+using namespace geraniumpin;
+using namespace geraniumpin::test;
+
+// While removed instances had their grace period, content was published under the number of the
+// previous revision. A node that ran that revision refused it as a conflict, and with it a document
+// that was read at the same time, for up to two seconds.
+BOOST_FIXTURE_TEST_CASE(a_document_that_arrives_in_a_grace_period_is_in_force, ReaderFixture)
+{
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { NodeAt(1, 3).Text(), "" } },
+           .revision_ = 11 });
+  BOOST_REQUIRE(context_.Versions().CurrentId().number_ == 11U);
+  Outage(std::chrono::seconds(4));
+  Advance(std::chrono::seconds(2));
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { kOther.Text(), std::nullopt }, { "document", "2" } },
+           .revision_ = 12 });
+  BOOST_TEST(DocumentInForce() == 2U);
+  BOOST_TEST(IsPublished(kOther));
+  BOOST_TEST(Count("version_refused_digest_conflict") == 0U);
+}
