Read a store that was restored from an older copy anew, and keep in force what the copy would undo

Callers got 404 and 401 on routes and keys that the operators had added, and requests reached instances that had said they were leaving. Cause: the platform's store had come back from an older copy and gave its revisions out again, while a node refuses every version whose number is not higher: nothing that was written after the return took effect until the counter had passed its old value, and no line said so. Evidence: revision 102 at three nodes 3.5 s after version 134 in the record; store_restore_test, which has the same symptoms.

StoreEra tells a restored store by the era that it states or, if it states none, by a listing whose revision is below an earlier answer's; linearizable reads that follow each other allow no other reason, and one late answer only starts a listing. After a failed read of a store without eras the node lists instead of watching, since the counter may have passed its old value meanwhile. A higher era in a peer's version starts a listing, too. PlatformItems keeps in force what the copy would undo, for a bounded time but for documents. The reader is split: Listing, PlatformContent, PartEncoder, ReadLog.

store_restore_test failed before (5 checks) and passes. AnswerWithRemoval of the reader's fixture answers a listing with a list, as a platform does; it answered every read with a change.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -3,27 +3,28 @@
 #include "geraniumpin/connection/backoff.hpp"
 #include "geraniumpin/process/config_service.hpp"
 #include "geraniumpin/process/last_contact.hpp"
+#include "geraniumpin/process/listing.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/placement_hash.hpp"
+#include "geraniumpin/process/platform_content.hpp"
+#include "geraniumpin/process/read_log.hpp"
 #include "geraniumpin/process/reader_timing.hpp"
+#include "geraniumpin/process/store_era.hpp"
 #include "geraniumpin/process/watcher_rank.hpp"
-#include "geraniumpin/version/document_assembly.hpp"
-#include "geraniumpin/version/part_split.hpp"
 
 #include <algorithm>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace geraniumpin {
 
 /// \brief Reads the platform while this node should watch it, and publishes complete versions.
 ///
 /// The first reads list all items page by page; after them a watch returns the changes. The number
-/// of a version is the revision of the platform at which its items were read.
+/// of a version is the era and the revision of the platform at which its items were read. A
+/// platform that came back from an older copy is listed anew; PlatformItems decides what stays in
+/// force.
 template<NodePortSet PortSet>
 class PlatformReader
 {
@@ -41,16 +42,12 @@
   /// Time without an answer after which published instances may have expired although they run.
   static constexpr std::chrono::milliseconds kExpiryOutage{ 3000 };
   /// Grace period in which expired instances can be published again.
-  static constexpr std::chrono::milliseconds kExpiryGrace{ 2000 };
-
-  /// Maximum number of items of a listing: over twice the instances of the target size.
-  static constexpr std::size_t kMaxListedItems = 50'000;
-  /// Maximum number of bytes in the keys and values of a listing.
-  static constexpr std::size_t kMaxListedBytes = 64U << 20U;
+  static constexpr auto kExpiryGrace = PlatformItems::kMissingGrace;
 
   PlatformReader(NodeContext<PortSet>& aContext, ConfigService<PortSet>& aConfig)
     : context_(aContext)
-    , config_(aConfig)
+    , log_(aContext)
+    , content_(aContext, aConfig)
     , lastContact_(aContext.Now())
     , timing_(ReaderTiming::Make(aContext.NodeSettings().ApplyBound(),
                                  aContext.NodeSettings().ContactBound()))
@@ -58,10 +55,9 @@
     , backoff_(kFirstBackoff, timing_.maxBackoff_)
     , backupBackoff_(kFirstBackoff, kMaxBackupBackoff)
   {
-    const auto jitter = DrawFraction(context_.Ports().random_) * kStartJitter;
     const auto startDelay =
       context_.NodeSettings().Seeds().empty() ? Duration{} : Duration(kSeededStartDelay);
-    nextRead_ = context_.Now() + startDelay + std::chrono::duration_cast<Duration>(jitter);
+    nextRead_ = context_.Now() + startDelay + DrawStartJitter();
   }
 
   void OnItemsRead(const ItemsRead& aRead)
@@ -70,20 +66,31 @@
       return; // the answer to a cancelled read
     }
     readDeadline_.reset();
-    switch (aRead.result_) {
-      case ReadResult::Failed:
-        OnReadFailed(aRead.detail_);
-        return;
-      case ReadResult::HistoryGone:
-        context_.GetMetrics().Count("platform_history_gone");
-        context_.Write(DescribeRead("platform_history_gone", aRead, revision_));
-        BeginListing();
-        nextRead_ = context_.Now();
-        return;
-      case ReadResult::Complete:
-        OnReadSucceeded(aRead);
-        return;
+    if (aRead.result_ == ReadResult::Failed) {
+      OnReadFailed(aRead.detail_);
+      return;
+    }
+    const bool isFirstPage = listing_ && !listing_->HasPages();
+    const auto known = listing_ && !isFirstPage ? listing_->Revision() : revision_;
+    const auto history = era_.OnAnswer(aRead, known, isFirstPage);
+    if (history == StoreHistory::Outdated) {
+      context_.GetMetrics().Count("platform_outdated_answers");
+      OnReadFailed("answer of an earlier era");
+      return;
     }
+    if (history == StoreHistory::Restored && revision_ != 0) {
+      context_.GetMetrics().Count("platform_restores");
+      context_.Write(log_.Describe("platform_restored", aRead, revision_));
+    }
+    if (aRead.result_ == ReadResult::HistoryGone) {
+      context_.GetMetrics().Count("platform_history_gone");
+      context_.Write(log_.Describe("platform_history_gone", aRead, revision_));
+      BeginListing(history == StoreHistory::Restored ? ItemOrigin::Copy : ItemOrigin::Listing);
+      nextRead_ = context_.Now();
+      return;
+    }
+    OnReadSucceeded(aRead);
+    Apply(aRead, history, isFirstPage);
   }
 
   /// \brief Applies the age of the last contact with the platform that a peer reported.
@@ -101,24 +108,29 @@
       readDeadline_.reset();
       OnReadFailed("no answer in time");
     }
-    if (!expiredKeys_.empty() && now >= graceEndsAt_) {
-      for (const auto& key : std::exchange(expiredKeys_, {})) {
-        assembly_.Erase(key);
-      }
+    if (!listing_ && content_.Items().ReleaseDue(now)) {
       Publish();
     }
+    if (era_.OnVersion(context_.Versions().CurrentId().number_.era_)) {
+      ListAfterPeer(now);
+    }
     if (!readDeadline_ && now >= nextRead_) {
       nextRead_ = now + kWatchCheckPeriod;
-      if (ShouldWatch(now)) {
+      if (ShouldWatch(now) || std::exchange(isReadRequested_, false)) {
         Read(now);
       }
     }
   }
 
+  /// \brief Makes this node read the platform once, also if it does not watch it: it cannot tell by
+  /// its peers what is in force.
+  void RequestRead() noexcept { isReadRequested_ = true; }
+
   [[nodiscard]] TimePoint NextDeadline() const noexcept
   {
     const auto next = readDeadline_ ? *readDeadline_ : nextRead_;
-    return expiredKeys_.empty() ? next : std::min(next, graceEndsAt_);
+    const auto release = listing_ ? std::nullopt : content_.Items().NextDeadline();
+    return release ? std::min(next, *release) : next;
   }
   [[nodiscard]] Duration PlatformAge() const { return lastContact_.Age(context_.Now()); }
   [[nodiscard]] ReadState GetReadState() const
@@ -129,7 +141,7 @@
   }
   [[nodiscard]] bool IsWatcher() const { return ShouldWatch(context_.Now()); }
   /// \brief Returns true if this process has read a complete configuration from the platform.
-  [[nodiscard]] bool HasRead() const noexcept { return hasRead_; }
+  [[nodiscard]] bool HasRead() const noexcept { return content_.WasComplete(); }
 
 private:
   void Read(TimePoint aNow)
@@ -140,8 +152,9 @@
       longestGap_ = {};
     }
     if (listing_) {
-      readDeadline_ = aNow + ReaderTiming::kReadTimeout;
-      context_.Ports().source_.ReadItems(listing_->afterKey_);
+      readDeadline_ =
+        aNow + (failing_ ? ReaderTiming::kRetryReadTimeout : ReaderTiming::kReadTimeout);
+      context_.Ports().source_.ReadItems(listing_->AfterKey());
     } else {
       // A watch that the platform did not receive would hide its return for as long as it waits.
       const auto wait = failing_ ? Duration{} : timing_.watchWait_;
@@ -151,7 +164,25 @@
     }
   }
 
-  void BeginListing() { listing_ = Listing{}; }
+  void BeginListing(ItemOrigin aOrigin) { listing_ = Listing(aOrigin); }
+
+  /// Lists the platform since a peer has published a version of a higher era. The jitter spreads
+  /// the listings of the nodes that apply it at the same time.
+  void ListAfterPeer(TimePoint aNow)
+  {
+    if (readDeadline_) {
+      context_.Ports().source_.CancelRead();
+      readDeadline_.reset();
+    }
+    nextRead_ = aNow + DrawStartJitter();
+    BeginListing(ItemOrigin::Copy);
+  }
+
+  [[nodiscard]] Duration DrawStartJitter()
+  {
+    const auto jitter = DrawFraction(context_.Ports().random_) * kStartJitter;
+    return std::chrono::duration_cast<Duration>(jitter);
+  }
 
   void OnReadSucceeded(const ItemsRead& aRead)
   {
@@ -162,12 +193,28 @@
                        .With("silent_ms", Milliseconds(now - lastAnswerAt_)));
     }
     if (MayFollowOutage(now)) {
-      graceEndsAt_ = now + kExpiryGrace;
+      content_.Items().BeginExpiryGrace(now);
     }
     failing_ = false;
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
     nextRead_ = now + timing_.readInterval_;
+  }
+
+  void Apply(const ItemsRead& aRead, StoreHistory aHistory, bool aIsFirstPage)
+  {
+    const bool isRestored = aHistory == StoreHistory::Restored;
+    if (aHistory == StoreHistory::Suspected || (isRestored && !aIsFirstPage)) {
+      // The answer is no page of a listing that began before it.
+      BeginListing(isRestored ? ItemOrigin::Copy : ItemOrigin::Listing);
+      nextRead_ = context_.Now() + DrawStartJitter();
+      return;
+    }
+    if (isRestored) {
+      listing_->MarkAsCopy();
+      revision_ =
+        revision_ == 0 ? 0 : aRead.revision_; // a repeated first page is no further restore
+    }
     if (listing_) {
       ApplyPage(aRead);
     } else {
@@ -192,87 +239,54 @@
   void ApplyPage(const ItemsRead& aRead)
   {
     auto& listing = *listing_;
-    if (!listing.revision_) {
-      listing.revision_ = aRead.revision_;
+    if (!listing.HasPages()) {
+      BeginCopyIfRestored();
     }
-    const bool isRepeated =
-      aRead.hasMore_ && !aRead.items_.empty() && listing.keys_.contains(aRead.items_.back().key_);
+    const bool mayGoOn = listing.BeginPage(aRead);
     for (const auto& item : aRead.items_) {
-      listing.bytes_ += item.key_.size() + (item.value_ ? item.value_->size() : 0);
-      if (listing.keys_.insert(item.key_).second && assembly_.Find(item.key_) == nullptr) {
-        listing.addedKeys_.push_back(item.key_);
+      if (!content_.Items().Contains(item.key_)) {
+        listing.RecordAddition(item.key_);
       }
-      ApplyItem(item);
+      content_.ApplyItem(item, listing.Origin());
     }
-    if (isRepeated || listing.keys_.size() > kMaxListedItems || listing.bytes_ > kMaxListedBytes) {
+    if (!mayGoOn) {
       AbandonListing();
       return;
     }
     if (aRead.hasMore_ && !aRead.items_.empty()) {
-      listing.afterKey_ = aRead.items_.back().key_;
       nextRead_ = context_.Now();
       return;
     }
-    for (const auto& key : assembly_.Keys()) {
-      if (!listing.keys_.contains(key)) {
-        Remove(key);
-      }
-    }
-    // Later pages may contain later changes; the watch repeats all changes after the first page.
-    const auto previous = std::exchange(revision_, *listing.revision_);
+    content_.Items().EndListing(listing.Keys(), listing.Origin(), context_.Now());
+    const auto previous = std::exchange(revision_, listing.Revision());
+    spansChanges_ = listing.SpansChanges();
     listing_.reset();
     context_.GetMetrics().Count("platform_listings");
-    context_.Write(DescribeRead("platform_listed", aRead, previous));
+    context_.Write(
+      log_.Describe("platform_listed", aRead, previous).With("held", content_.Items().HeldCount()));
     Publish();
-    TrackLag();
+    log_.TrackLag(era_.Value(), revision_);
   }
 
-  /// Describes what a read changed, in the terms that tell apart a store that went back, one
-  /// revision with two contents, and a change that was missed.
-  [[nodiscard]] LogEvent DescribeRead(std::string_view aEvent,
-                                      const ItemsRead& aRead,
-                                      std::uint64_t aPrevious) const
+  /// A node that has read nothing takes the copy for one, too, if its peers still hold items.
+  void BeginCopyIfRestored()
   {
-    LogEvent event(aEvent);
-    event.With("revision", aRead.revision_)
-      .With("previous", aPrevious)
-      .With("era", aRead.era_ ? std::to_string(*aRead.era_) : "none")
-      .With("items", aRead.items_.size())
-      .With("version", context_.Versions().CurrentId().number_.revision_);
-    return event;
-  }
-
-  /// Logs when the revision of the platform falls below the version in force, and when it no longer
-  /// is: between the two, no change takes effect.
-  void TrackLag()
-  {
-    const bool isBehind = revision_ < context_.Versions().CurrentId().number_.revision_;
-    if (isBehind == behindSince_.has_value()) {
-      return;
+    const auto& running = context_.Versions().Current();
+    if (revision_ == 0 && running && running->Id().number_.interim_) {
+      listing_->MarkAsCopy();
     }
-    if (isBehind) {
-      behindSince_ = context_.Now();
-      context_.GetMetrics().Count("platform_behind");
-      context_.Write(LogEvent("platform_behind", Severity::Warning)
-                       .With("revision", revision_)
-                       .With("version", context_.Versions().CurrentId().number_.revision_));
-      return;
+    if (listing_->Origin() == ItemOrigin::Copy) {
+      content_.Items().BeginCopy(running);
     }
-    const auto lasted = context_.Now() - *std::exchange(behindSince_, std::nullopt);
-    context_.GetMetrics().Record("platform_behind_ms", lasted);
-    context_.Write(LogEvent("platform_caught_up")
-                     .With("revision", revision_)
-                     .With("version", context_.Versions().CurrentId().number_.revision_)
-                     .With("behind_ms", Milliseconds(lasted)));
   }
 
   /// Ends a listing that has no end, without the items that only it has added.
   void AbandonListing()
   {
-    for (const auto& key : listing_->addedKeys_) {
-      assembly_.Erase(key);
+    for (const auto& key : listing_->AddedKeys()) {
+      content_.Items().Erase(key);
     }
-    BeginListing();
+    BeginListing(listing_->Origin());
     OnReadFailed("listing without end");
   }
 
@@ -285,131 +299,21 @@
       return;
     }
     const auto previous = std::exchange(revision_, aRead.revision_);
+    spansChanges_ = false;
     for (const auto& item : aRead.items_) {
-      ApplyItem(item);
+      content_.ApplyItem(item, ItemOrigin::Change);
     }
     if (!aRead.items_.empty()) {
-      context_.Write(DescribeRead("platform_changed", aRead, previous));
+      context_.Write(log_.Describe("platform_changed", aRead, previous));
       Publish();
     }
-    TrackLag();
-  }
-
-  void ApplyItem(const PublishedItem& aItem)
-  {
-    if (!aItem.value_) {
-      Remove(aItem.key_);
-      return;
-    }
-    expiredKeys_.erase(aItem.key_);
-    auto decoded = context_.Ports().decoder_.Decode(aItem.key_, *aItem.value_);
-    if (!decoded) {
-      OnMalformed(aItem.key_, decoded.error());
-      return;
-    }
-    if (!*decoded) {
-      return;
-    }
-    if (const auto* list = std::get_if<VmList>(&**decoded)) {
-      context_.GetMembership().OnVmList({ .revision_ = ++vmListRevision_, .vms_ = list->vms_ });
-    }
-    assembly_.Put(aItem.key_, std::move(**decoded));
-  }
-
-  /// A malformed item is treated as absent. While the document is malformed the running version,
-  /// which may be newer than any that this node has read, stays in force.
-  void OnMalformed(const std::string& aKey, const Faults& aFaults)
-  {
-    context_.GetMetrics().Count("platform_malformed_items");
-    LogEvent event("platform_item_refused", Severity::Warning);
-    event.With("key", aKey);
-    if (!aFaults.empty()) {
-      event.With("fault", ToString(aFaults.front()));
-    }
-    context_.Write(event);
-    assembly_.Erase(aKey);
-  }
-
-  /// Instances that were removed during an outage of the platform stay until the grace period ends.
-  void Remove(const std::string& aKey)
-  {
-    const auto* known = assembly_.Find(aKey);
-    const bool isInstance = known != nullptr && std::holds_alternative<PublishedInstance>(*known);
-    if (isInstance && context_.Now() < graceEndsAt_) {
-      expiredKeys_.insert(aKey);
-      return;
-    }
-    assembly_.Erase(aKey);
+    log_.TrackLag(era_.Value(), revision_);
   }
 
   void Publish()
   {
-    if (!assembly_.HasDocument() || revision_ == 0) {
-      return;
-    }
-    hasRead_ = true;
-    EncodeParts();
-    // In the grace period the items are not exactly those of the revision: they come after the
-    // revision before and before this one.
-    const auto& document = std::get<PublishedDocument>(*assembly_.Document());
-    const bool isExact = expiredKeys_.empty();
-    const Manifest manifest{ .number_ = { .document_ = document.failureDomains_.documentNumber_,
-                                          .revision_ = isExact ? revision_ : revision_ - 1,
-                                          .interim_ = !isExact },
-                             .parts_ = digests_ };
-    const auto& running = context_.Versions().Current();
-    if (running && running->GetManifest().parts_ == manifest.parts_) {
-      return;
-    }
-    config_.OnPlatformVersion({ .from_ = {},
-                                .to_ = MakeVersionId(manifest),
-                                .changed_ = bytes_,
-                                .removed_ = {},
-                                .decoded_ = values_ });
-  }
-
-  /// Updates the encoded parts; those that did not change are not encoded again.
-  void EncodeParts()
-  {
-    const auto& item = assembly_.Document();
-    const auto& document = std::get<PublishedDocument>(*item);
-    if (item != encodedDocument_) {
-      encodedDocument_ = item;
-      SetPart(part_name::kTeams, document.teams_);
-      splitParts_.clear();
-      for (const auto& [name, routes] : SplitRoutes(document.routes_)) {
-        SetPart(name, routes);
-        splitParts_.insert(name);
-      }
-      for (const auto& [name, keys] : SplitKeys(document.keys_)) {
-        SetPart(name, keys);
-        splitParts_.insert(name);
-      }
-    }
-    auto names = splitParts_;
-    names.insert({ std::string(part_name::kTeams), std::string(part_name::kFailureDomains) });
-    SetPart(part_name::kFailureDomains, assembly_.FailureDomains());
-    for (const auto& service : assembly_.Services()) {
-      const auto name = std::string(part_name::kServicePrefix) + service.name_;
-      SetPart(name, service);
-      names.insert(name);
-    }
-    std::erase_if(bytes_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
-    std::erase_if(values_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
-    std::erase_if(digests_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
-  }
-
-  void SetPart(std::string_view aName, const PartValue& aValue)
-  {
-    const std::string name(aName);
-    const auto known = values_.find(name);
-    if (known != values_.end() && *known->second == aValue) {
-      return;
-    }
-    const auto bytes = std::make_shared<const std::string>(context_.Ports().codec_.Encode(aValue));
-    values_.insert_or_assign(name, std::make_shared<const PartValue>(aValue));
-    digests_.insert_or_assign(name, Digest::Compute(*bytes));
-    bytes_.insert_or_assign(name, bytes);
+    content_.Publish(
+      { .era_ = era_.Value(), .revision_ = revision_, .spansChanges_ = spansChanges_ });
   }
 
   [[nodiscard]] bool ShouldWatch(TimePoint aNow) const
@@ -426,6 +330,10 @@
     nextRead_ = std::max(context_.Now(), readSentAt_ + backoff.Draw(context_.Ports().random_)) +
                 timing_.readInterval_;
     backoff = backoff.AfterFailure();
+    // Without an era, the revision alone does not show whether the store was restored meanwhile.
+    if (!era_.IsStated() && !listing_) {
+      BeginListing(ItemOrigin::Listing);
+    }
     if (!std::exchange(failing_, true)) {
       context_.Write(LogEvent("platform_lost", Severity::Warning)
                        .With("detail", aDetail)
@@ -434,18 +342,9 @@
     }
   }
 
-  /// Progress of a listing of all items.
-  struct Listing
-  {
-    std::string afterKey_;
-    std::optional<std::uint64_t> revision_; ///< of the first page
-    std::set<std::string> keys_;
-    std::vector<std::string> addedKeys_; ///< of items that were unknown before
-    std::size_t bytes_ = 0;
-  };
-
   NodeContext<PortSet>& context_;
-  ConfigService<PortSet>& config_;
+  ReadLog<PortSet> log_;
+  PlatformContent<PortSet> content_;
   LastContact lastContact_;
   ReaderTiming timing_;
   TimePoint lastAnswerAt_;
@@ -454,21 +353,13 @@
   TimePoint nextRead_;
   std::optional<TimePoint> readDeadline_; ///< set while a read is in flight
   TimePoint readSentAt_;                  ///< of the last read
-  std::optional<Listing> listing_ = Listing{};
-  std::uint64_t revision_ = 0;
-  std::uint64_t vmListRevision_ = 0;     ///< number of lists of VMs that were applied
-  std::optional<TimePoint> behindSince_; ///< set while revision_ is below the version in force
-  bool failing_ = false;                 ///< the last read failed
+  std::optional<Listing> listing_ = Listing();
+  std::uint64_t revision_ = 0; ///< of the last answer that was applied; 0: none
+  StoreEra era_;
+  bool spansChanges_ = false; ///< the items changed between the pages of their listing
+  bool failing_ = false;      ///< the last read failed
+  bool isReadRequested_ = false;
   Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
-  bool hasRead_ = false;
-  DocumentAssembly assembly_;
-  std::set<std::string> expiredKeys_; ///< removed instances whose grace period runs
-  TimePoint graceEndsAt_;
-  std::shared_ptr<const DecodedItem> encodedDocument_;
-  std::set<std::string> splitParts_; ///< names of the parts with routes and keys
-  DecodedParts values_;              ///< values of the encoded parts
-  std::map<std::string, SharedBytes> bytes_;
-  PartDigests digests_;
 };
 
 } // namespace geraniumpin
--- a/tests/support/reader_fixture.hpp
+++ b/tests/support/reader_fixture.hpp
@@ -46,13 +46,35 @@
   }
 };
 
+/// \brief Records which read is in flight.
+struct RecordingSource
+{
+  void ReadItems(const std::string& aAfterKey)
+  {
+    ++listings_;
+    isListing_ = true;
+    afterKey_ = aAfterKey;
+  }
+  void WatchItems(std::uint64_t aRevision, Duration /*aWait*/)
+  {
+    isListing_ = false;
+    watchedRevision_ = aRevision;
+  }
+  void CancelRead() {}
+
+  bool isListing_ = false;
+  std::size_t listings_ = 0; ///< number of pages that were requested
+  std::string afterKey_;
+  std::uint64_t watchedRevision_ = 0;
+};
+
 using ReaderPorts = NodePorts<const FakeClock,
                               std::mt19937_64,
                               FakeLog,
                               FakePorts,
                               FakePorts,
                               FakePorts,
-                              FakePorts,
+                              RecordingSource,
                               JsonPartCodec,
                               FakeItemDecoder>;
 
@@ -104,8 +126,11 @@
   /// \brief Answers the read in flight: the instance of the other node was removed.
   void AnswerWithRemoval()
   {
+    using Items = std::vector<PublishedItem>;
     reader_.OnItemsRead({ .result_ = ReadResult::Complete,
-                          .items_ = { { kOther.Text(), std::nullopt } },
+                          .items_ = source_.isListing_
+                                      ? Items{ { "document", "" }, { kSelf.Text(), "" } }
+                                      : Items{ { kOther.Text(), std::nullopt } },
                           .revision_ = 12 });
   }
 
@@ -147,10 +172,11 @@
   FakeMesh mesh_{ 1 };
   FakePorts ports_{ mesh_, kSelf, 1 };
   FakeLog log_;
+  RecordingSource source_;
   const JsonPartCodec codec_{};
   const FakeItemDecoder decoder_{};
   NodeContext<ReaderPorts> context_{
-    { mesh_.clock_, mesh_.random_, log_, ports_, ports_, ports_, ports_, codec_, decoder_ },
+    { mesh_.clock_, mesh_.random_, log_, ports_, ports_, ports_, source_, codec_, decoder_ },
     MakeReaderSettings(),
     1
   };
