One line and one counter for each kind of read; release held items while a listing has not begun

An item whose grace period ended while a listing was pending, but without an answer so far, stayed in force until the platform answered. Its release waits now only while a listing is halfway. peer_transport_test binds ports below the range of outgoing connections: it failed in 3 cases since one of its ports was in use (listen_failed). platform_reader_test, store_restore_test, expiry_grace_test and peer_transport_test pass.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -71,7 +71,7 @@
       return;
     }
     const bool isFirstPage = listing_ && !listing_->HasPages();
-    const auto known = listing_ && !isFirstPage ? listing_->Revision() : revision_;
+    const auto known = IsListingHalfway() ? listing_->Revision() : revision_;
     const auto history = era_.OnAnswer(aRead, known, isFirstPage);
     if (history == StoreHistory::Outdated) {
       context_.GetMetrics().Count("platform_outdated_answers");
@@ -79,12 +79,10 @@
       return;
     }
     if (history == StoreHistory::Restored && revision_ != 0) {
-      context_.GetMetrics().Count("platform_restores");
-      context_.Write(log_.Describe("platform_restored", aRead, revision_));
+      log_.Write("platform_restored", aRead, revision_);
     }
     if (aRead.result_ == ReadResult::HistoryGone) {
-      context_.GetMetrics().Count("platform_history_gone");
-      context_.Write(log_.Describe("platform_history_gone", aRead, revision_));
+      log_.Write("platform_history_gone", aRead, revision_);
       BeginListing(history == StoreHistory::Restored ? ItemOrigin::Copy : ItemOrigin::Listing);
       nextRead_ = context_.Now();
       return;
@@ -108,7 +106,7 @@
       readDeadline_.reset();
       OnReadFailed("no answer in time");
     }
-    if (!listing_ && content_.Items().ReleaseDue(now)) {
+    if (!IsListingHalfway() && content_.Items().ReleaseDue(now)) {
       Publish();
     }
     if (era_.OnVersion(context_.Versions().CurrentId().number_.era_)) {
@@ -129,7 +127,7 @@
   [[nodiscard]] TimePoint NextDeadline() const noexcept
   {
     const auto next = readDeadline_ ? *readDeadline_ : nextRead_;
-    const auto release = listing_ ? std::nullopt : content_.Items().NextDeadline();
+    const auto release = IsListingHalfway() ? std::nullopt : content_.Items().NextDeadline();
     return release ? std::min(next, *release) : next;
   }
   [[nodiscard]] Duration PlatformAge() const { return lastContact_.Age(context_.Now()); }
@@ -164,6 +162,9 @@
     }
   }
 
+  /// Returns true if some pages of a listing were applied and others were not.
+  [[nodiscard]] bool IsListingHalfway() const noexcept { return listing_ && listing_->HasPages(); }
+
   void BeginListing(ItemOrigin aOrigin) { listing_ = Listing(aOrigin); }
 
   /// Lists the platform since a peer has published a version of a higher era. The jitter spreads
@@ -261,9 +262,7 @@
     const auto previous = std::exchange(revision_, listing.Revision());
     spansChanges_ = listing.SpansChanges();
     listing_.reset();
-    context_.GetMetrics().Count("platform_listings");
-    context_.Write(
-      log_.Describe("platform_listed", aRead, previous).With("held", content_.Items().HeldCount()));
+    log_.Write("platform_listed", aRead, previous, content_.Items().HeldCount());
     Publish();
     log_.TrackLag(era_.Value(), revision_);
   }
@@ -304,7 +303,7 @@
       content_.ApplyItem(item, ItemOrigin::Change);
     }
     if (!aRead.items_.empty()) {
-      context_.Write(log_.Describe("platform_changed", aRead, previous));
+      log_.Write("platform_changed", aRead, previous, content_.Items().HeldCount());
       Publish();
     }
     log_.TrackLag(era_.Value(), revision_);
--- a/include/geraniumpin/process/read_log.hpp
+++ b/include/geraniumpin/process/read_log.hpp
@@ -20,19 +20,23 @@
   {
   }
 
-  /// \brief Describes what a read changed, in the terms that tell apart a store that went back, one
-  /// revision with two contents, and a change that was missed.
-  [[nodiscard]] LogEvent Describe(std::string_view aEvent,
-                                  const ItemsRead& aRead,
-                                  std::uint64_t aPrevious) const
+  /// \brief Counts and logs what a read changed, in the terms that tell apart a store that went
+  /// back, one revision with two contents, and a change that was missed. \param aPrevious Revision
+  /// of the answer before; 0: there was none. \param aHeld Number of items that are not in force as
+  /// the platform has them.
+  void Write(std::string_view aEvent,
+             const ItemsRead& aRead,
+             std::uint64_t aPrevious,
+             std::size_t aHeld = 0)
   {
-    LogEvent event(aEvent);
-    event.With("revision", aRead.revision_)
-      .With("previous", aPrevious)
-      .With("era", aRead.era_ ? std::to_string(*aRead.era_) : "none")
-      .With("items", aRead.items_.size())
-      .With("version", context_.Versions().CurrentId().number_.revision_);
-    return event;
+    context_.GetMetrics().Count(aEvent);
+    context_.Write(LogEvent(aEvent)
+                     .With("revision", aRead.revision_)
+                     .With("previous", aPrevious)
+                     .With("era", aRead.era_ ? std::to_string(*aRead.era_) : "none")
+                     .With("items", aRead.items_.size())
+                     .With("held", aHeld)
+                     .With("version", context_.Versions().CurrentId().number_.revision_));
   }
 
   /// \brief Logs when the revision of the platform falls below the version in force, and when it no
--- a/tests/connection/peer_transport_test.cpp
+++ b/tests/connection/peer_transport_test.cpp
@@ -56,7 +56,7 @@
 
   SystemClock clock_;
   EventLoop loop_;
-  NodeAddress self_ = Address("127.0.0.1:47613");
+  NodeAddress self_ = Address("127.0.0.1:17613");
   std::vector<std::uint64_t> delivered_;
   ZmqPeerTransport transport_{ loop_, self_, kPeerKey, kLimits, [this](const Envelope& aMessage) {
                                 delivered_.push_back(
@@ -226,8 +226,8 @@
 
   SystemClock clock_;
   EventLoop loop_;
-  NodeAddress a_ = Address("127.0.0.1:47615");
-  NodeAddress b_ = Address("127.0.0.1:47616");
+  NodeAddress a_ = Address("127.0.0.1:17615");
+  NodeAddress b_ = Address("127.0.0.1:17616");
   std::vector<std::uint64_t> delivered_;
   ZmqPeerTransport transportOfA_{ loop_, a_, kPeerKey, kLimits, [](const Envelope&) {} };
   ZmqPeerTransport transportOfB_{ loop_, b_, kPeerKey, kLimits, [this](const Envelope& aMessage) {
@@ -353,8 +353,8 @@
 
   SystemClock clock_;
   EventLoop loop_;
-  NodeAddress a_ = Address("127.0.0.1:47617");
-  NodeAddress b_ = Address("127.0.0.1:47618");
+  NodeAddress a_ = Address("127.0.0.1:17617");
+  NodeAddress b_ = Address("127.0.0.1:17618");
   std::vector<Body> bodies_; ///< that B received
   const TransportLimits limits_{ .maxQueuedBytes_ = kMaxQueued,
                                  .maxQueuedBytesPerPeer_ = kMaxQueued - 1'000'000 };
