--- /dev/null
+++ b/include/geraniumpin/process/platform_contact.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "geraniumpin/process/clock.hpp"
+#include "geraniumpin/process/last_contact.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace geraniumpin {
+
+/// \brief When the platform last answered this node or a peer that reported, and whether an answer
+/// may follow an outage.
+class PlatformContact
+{
+public:
+  /// Time without an answer after which published instances may have expired although they run.
+  static constexpr std::chrono::milliseconds kExpiryOutage{ 3000 };
+
+  explicit PlatformContact(TimePoint aStart) noexcept
+    : any_(aStart)
+    , ownAt_(aStart)
+  {
+  }
+
+  /// \brief Records that this node sent a read.
+  void OnReadSent(bool aIsFailing, TimePoint aNow) noexcept
+  {
+    sentAt_ = aNow;
+    if (!aIsFailing) {
+      longestGap_ = {};
+    }
+  }
+
+  /// \brief Records an answer to this node.
+  void OnAnswer(TimePoint aNow) noexcept
+  {
+    ownAt_ = aNow;
+    any_ = any_.AfterContact(aNow);
+  }
+
+  /// \brief Records the age of the last answer that a peer reported.
+  void OnReportedAge(Duration aAge, TimePoint aNow) noexcept
+  {
+    longestGap_ = std::max(longestGap_, any_.Age(aNow));
+    any_ = any_.AfterReportedAge(aAge, aNow);
+  }
+
+  /// \brief Returns true if an answer that arrives now may follow an outage of the platform: for
+  /// that time no node is known to have had one. A node that did not read, or whose own answer was
+  /// lost, learns of the answers to others. \param aIsFailing Whether the read before failed.
+  /// \param aWatchWait Time in which a watch waits for changes, which is no silence.
+  [[nodiscard]] bool MayFollowOutage(bool aIsFailing,
+                                     Duration aWatchWait,
+                                     TimePoint aNow) const noexcept
+  {
+    return aIsFailing ? std::max(longestGap_, any_.Age(aNow)) >= kExpiryOutage
+                      : any_.Age(sentAt_) >= kExpiryOutage + aWatchWait;
+  }
+
+  [[nodiscard]] TimePoint SentAt() const noexcept { return sentAt_; }
+  /// \brief Returns the time since the last answer to any node that is known.
+  [[nodiscard]] Duration Age(TimePoint aNow) const noexcept { return any_.Age(aNow); }
+  /// \brief Returns the time since the last answer to this node.
+  [[nodiscard]] Duration OwnAge(TimePoint aNow) const noexcept { return aNow - ownAt_; }
+
+private:
+  LastContact any_;
+  TimePoint ownAt_;
+  TimePoint sentAt_;
+  Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
+};
+
+} // namespace geraniumpin
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -2,10 +2,10 @@
 
 #include "geraniumpin/connection/backoff.hpp"
 #include "geraniumpin/process/config_service.hpp"
-#include "geraniumpin/process/last_contact.hpp"
 #include "geraniumpin/process/listing.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/placement_hash.hpp"
+#include "geraniumpin/process/platform_contact.hpp"
 #include "geraniumpin/process/platform_content.hpp"
 #include "geraniumpin/process/read_log.hpp"
 #include "geraniumpin/process/reader_timing.hpp"
@@ -39,8 +39,6 @@
   static constexpr std::chrono::milliseconds kMaxBackupBackoff{ 60000 };
   /// Period in which a node that does not watch checks whether it should.
   static constexpr std::chrono::milliseconds kWatchCheckPeriod{ 200 };
-  /// Time without an answer after which published instances may have expired although they run.
-  static constexpr std::chrono::milliseconds kExpiryOutage{ 3000 };
   /// Grace period in which expired instances can be published again.
   static constexpr auto kExpiryGrace = PlatformItems::kMissingGrace;
 
@@ -48,10 +46,9 @@
     : context_(aContext)
     , log_(aContext)
     , content_(aContext, aConfig)
-    , lastContact_(aContext.Now())
+    , contact_(aContext.Now())
     , timing_(ReaderTiming::Make(aContext.NodeSettings().ApplyBound(),
                                  aContext.NodeSettings().ContactBound()))
-    , lastAnswerAt_(aContext.Now())
     , backoff_(kFirstBackoff, timing_.maxBackoff_)
     , backupBackoff_(kFirstBackoff, kMaxBackupBackoff)
   {
@@ -92,11 +89,7 @@
   }
 
   /// \brief Applies the age of the last contact with the platform that a peer reported.
-  void OnReportedAge(Duration aAge)
-  {
-    longestGap_ = std::max(longestGap_, lastContact_.Age(context_.Now()));
-    lastContact_ = lastContact_.AfterReportedAge(aAge, context_.Now());
-  }
+  void OnReportedAge(Duration aAge) { contact_.OnReportedAge(aAge, context_.Now()); }
 
   void OnTimer()
   {
@@ -130,11 +123,11 @@
     const auto release = IsListingHalfway() ? std::nullopt : content_.Items().NextDeadline();
     return release ? std::min(next, *release) : next;
   }
-  [[nodiscard]] Duration PlatformAge() const { return lastContact_.Age(context_.Now()); }
+  [[nodiscard]] Duration PlatformAge() const { return contact_.Age(context_.Now()); }
   [[nodiscard]] ReadState GetReadState() const
   {
     return { .platformAge_ = PlatformAge(),
-             .ownAge_ = context_.Now() - lastAnswerAt_,
+             .ownAge_ = contact_.OwnAge(context_.Now()),
              .failing_ = failing_ };
   }
   [[nodiscard]] bool IsWatcher() const { return ShouldWatch(context_.Now()); }
@@ -145,10 +138,7 @@
   void Read(TimePoint aNow)
   {
     context_.GetMetrics().Count("platform_reads");
-    readSentAt_ = aNow;
-    if (!failing_) {
-      longestGap_ = {};
-    }
+    contact_.OnReadSent(failing_, aNow);
     if (listing_) {
       readDeadline_ =
         aNow + (failing_ ? ReaderTiming::kRetryReadTimeout : ReaderTiming::kReadTimeout);
@@ -191,14 +181,13 @@
     if (failing_) {
       context_.Write(LogEvent("platform_regained")
                        .With("revision", aRead.revision_)
-                       .With("silent_ms", Milliseconds(now - lastAnswerAt_)));
+                       .With("silent_ms", Milliseconds(contact_.OwnAge(now))));
     }
-    if (MayFollowOutage(now)) {
+    if (contact_.MayFollowOutage(failing_, timing_.watchWait_, now)) {
       content_.Items().BeginExpiryGrace(now);
     }
     failing_ = false;
-    lastAnswerAt_ = now;
-    lastContact_ = lastContact_.AfterContact(now);
+    contact_.OnAnswer(now);
     nextRead_ = now + timing_.readInterval_;
   }
 
@@ -206,6 +195,9 @@
   {
     const bool isRestored = aHistory == StoreHistory::Restored;
     if (aHistory == StoreHistory::Suspected || (isRestored && !aIsFirstPage)) {
+      if (!isRestored) {
+        log_.Write("platform_revision_fell", aRead, revision_);
+      }
       // The answer is no page of a listing that began before it.
       BeginListing(isRestored ? ItemOrigin::Copy : ItemOrigin::Listing);
       nextRead_ = context_.Now() + DrawStartJitter();
@@ -227,16 +219,6 @@
     }
   }
 
-  /// Returns true if a successful read may follow an outage of the platform: for that time no node
-  /// is known to have had an answer. A node that did not read, or whose own answer was lost, learns
-  /// of the answers to others.
-  [[nodiscard]] bool MayFollowOutage(TimePoint aNow) const
-  {
-    // Without a failure, the time in which a watch waits for changes is no silence.
-    return failing_ ? std::max(longestGap_, lastContact_.Age(aNow)) >= kExpiryOutage
-                    : lastContact_.Age(readSentAt_) >= kExpiryOutage + timing_.watchWait_;
-  }
-
   void ApplyPage(const ItemsRead& aRead)
   {
     auto& listing = *listing_;
@@ -318,7 +300,7 @@
   [[nodiscard]] bool ShouldWatch(TimePoint aNow) const
   {
     return ShouldWatchPlatform(
-      { .watcherRank_ = context_.ComputeWatcherRank(), .platformAge_ = lastContact_.Age(aNow) });
+      { .watcherRank_ = context_.ComputeWatcherRank(), .platformAge_ = contact_.Age(aNow) });
   }
 
   void OnReadFailed(std::string_view aDetail)
@@ -326,8 +308,9 @@
     context_.GetMetrics().Count("platform_read_failures");
     auto& backoff = context_.ComputeWatcherRank().IsWatcher() ? backoff_ : backupBackoff_;
     // The time in which a read had no answer is part of the pause.
-    nextRead_ = std::max(context_.Now(), readSentAt_ + backoff.Draw(context_.Ports().random_)) +
-                timing_.readInterval_;
+    nextRead_ =
+      std::max(context_.Now(), contact_.SentAt() + backoff.Draw(context_.Ports().random_)) +
+      timing_.readInterval_;
     backoff = backoff.AfterFailure();
     // Without an era, the revision alone does not show whether the store was restored meanwhile.
     if (!era_.IsStated() && !listing_) {
@@ -337,28 +320,25 @@
       context_.Write(LogEvent("platform_lost", Severity::Warning)
                        .With("detail", aDetail)
                        .With("revision", revision_)
-                       .With("silent_ms", Milliseconds(context_.Now() - lastAnswerAt_)));
+                       .With("silent_ms", Milliseconds(contact_.OwnAge(context_.Now()))));
     }
   }
 
   NodeContext<PortSet>& context_;
   ReadLog<PortSet> log_;
   PlatformContent<PortSet> content_;
-  LastContact lastContact_;
+  PlatformContact contact_;
   ReaderTiming timing_;
-  TimePoint lastAnswerAt_;
   Backoff backoff_;
   Backoff backupBackoff_;
   TimePoint nextRead_;
   std::optional<TimePoint> readDeadline_; ///< set while a read is in flight
-  TimePoint readSentAt_;                  ///< of the last read
   std::optional<Listing> listing_ = Listing();
   std::uint64_t revision_ = 0; ///< of the last answer that was applied; 0: none
   StoreEra era_;
   bool spansChanges_ = false; ///< the items changed between the pages of their listing
   bool failing_ = false;      ///< the last read failed
   bool isReadRequested_ = false;
-  Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
 };
 
 } // namespace geraniumpin
