What one node lost or never knew no longer undoes what another one keeps in force

So neither are old items put in force again, nor is draining undone that a peer had told. - Content that is held against a copy comes after the exact content of the revision, so that a node that knows more goes first; interim versions are counted, so that a release is not refused for its digest. - Domains out of service in the running version are held, too. - After a failed read of a store without eras the watch goes first and a listing follows, so that changes are not later than before; an older state of an instance is held in every listing.

--- a/include/geraniumpin/process/platform_content.hpp
+++ b/include/geraniumpin/process/platform_content.hpp
@@ -17,7 +17,7 @@
 {
   std::uint64_t era_ = 0;
   std::uint64_t revision_ = 0;
-  bool spansChanges_ = false; ///< the items changed between the pages of their listing
+  bool isPartial_ = false; ///< the items may lack changes up to the revision
 
   auto operator<=>(const StorePosition&) const = default;
 };
@@ -74,13 +74,14 @@
     }
     wasComplete_ = true;
     encoder_.Update(assembly, context_.Ports().codec_);
-    const Manifest manifest{ .number_ = MakeNumber(aPosition), .parts_ = encoder_.Digests() };
     const auto& running = context_.Versions().Current();
-    const bool isInForce = running && running->GetManifest().parts_ == manifest.parts_ &&
-                           runningId.number_.era_ == aPosition.era_;
-    if (isInForce && (manifest.number_.interim_ || !runningId.number_.interim_)) {
+    const auto number = MakeNumber(aPosition);
+    const bool settles = runningId.number_.interim_ != 0 && number.interim_ == 0;
+    if (running && running->GetManifest().parts_ == encoder_.Digests() &&
+        runningId.number_.era_ == aPosition.era_ && !settles) {
       return;
     }
+    const Manifest manifest{ .number_ = number, .parts_ = encoder_.Digests() };
     config_.OnPlatformVersion({ .from_ = {},
                                 .to_ = MakeVersionId(manifest),
                                 .changed_ = encoder_.Bytes(),
@@ -89,16 +90,26 @@
   }
 
 private:
-  /// Items that are held make the content differ from that of the revision, so it comes after the
-  /// revision before and before this one.
+  /// Content that may lack changes up to the revision, or that has expired instances, comes before
+  /// the exact content of the revision. What is held against a copy comes after it, so that a node
+  /// that knows what the copy has lost goes before one that does not.
   [[nodiscard]] VersionNumber MakeNumber(const StorePosition& aPosition) const
   {
     const auto& document = std::get<PublishedDocument>(*items_.Assembly().Document());
-    const bool isBehind = !items_.IsExact() && aPosition.revision_ > 1;
-    return { .document_ = document.failureDomains_.documentNumber_,
-             .era_ = aPosition.era_,
-             .revision_ = isBehind ? aPosition.revision_ - 1 : aPosition.revision_,
-             .interim_ = !items_.IsExact() || aPosition.spansChanges_ };
+    const bool isBefore = aPosition.isPartial_ || !items_.IsExact();
+    const bool isAfter = items_.HoldsAgainstCopy();
+    const bool fallsBack = isBefore && !isAfter && aPosition.revision_ > 1;
+    VersionNumber number{ .document_ = document.failureDomains_.documentNumber_,
+                          .era_ = aPosition.era_,
+                          .revision_ = fallsBack ? aPosition.revision_ - 1 : aPosition.revision_,
+                          .interim_ = isBefore ? 1U : 0U };
+    const auto& running = context_.Versions().CurrentId().number_;
+    auto base = running;
+    base.interim_ = number.interim_;
+    if (base == number && running.interim_ >= number.interim_) {
+      number.interim_ = running.interim_ + 1; // a further content between the same two revisions
+    }
+    return number;
   }
 
   /// A malformed item is treated as absent. While the document is malformed the running version,
--- a/include/geraniumpin/process/platform_items.hpp
+++ b/include/geraniumpin/process/platform_items.hpp
@@ -72,6 +72,9 @@
 
   /// \brief Returns true if the items are exactly those of the platform.
   [[nodiscard]] bool IsExact() const noexcept { return held_.empty(); }
+  /// \brief Returns true if an item is held that a restored store has lost or has in an older
+  /// state.
+  [[nodiscard]] bool HoldsAgainstCopy() const;
   [[nodiscard]] std::size_t HeldCount() const noexcept { return held_.size(); }
 
   [[nodiscard]] const DocumentAssembly& Assembly() const noexcept { return assembly_; }
@@ -84,7 +87,8 @@
   /// What takes effect in place of an item in force when its grace period ends.
   struct Held
   {
-    const TimePoint until_;                   ///< kNoEnd: until it is written again
+    const TimePoint until_; ///< kNoEnd: until it is written again
+    const bool isAgainstCopy_ = false;
     const std::optional<DecodedItem> listed_; ///< as the platform has it; nothing if it has none
   };
 
@@ -98,27 +102,30 @@
   static constexpr TimePoint kNoEnd = TimePoint::max();
 
   void Hold(const std::string& aKey, TimePoint aUntil, std::optional<DecodedItem> aListed);
+  void HoldInstance(const std::string& aKey,
+                    const PublishedInstance* aInForce,
+                    const PublishedInstance& aListed,
+                    TimePoint aUntil);
   void Apply(const std::string& aKey, std::optional<DecodedItem> aItem, TimePoint aNow);
   void PutDocument(const std::string& aKey, DecodedItem aItem);
   void PutCopiedInstance(const std::string& aKey, const PublishedInstance& aListed, TimePoint aNow);
+  [[nodiscard]] bool IsUndoneBy(const std::string& aKey, const PublishedInstance& aListed) const;
   void KeepDocumentInForce();
   void KeepInstancesInForce(TimePoint aNow);
+  void KeepDomainsOutOfService(TimePoint aNow);
   [[nodiscard]] std::uint64_t DocumentNumber() const;
   [[nodiscard]] InstancePlace FindInstancePlace() const;
-  /// Returns the instance in force with that id, by the items or by the running version.
-  [[nodiscard]] const PublishedInstance* FindInForce(const std::string& aKey,
-                                                     const std::string& aId) const;
-  /// Returns how long an instance of a copy is kept from what is in force; 0: not at all.
-  [[nodiscard]] Duration GraceOfCopied(const std::string& aKey,
-                                       const PublishedInstance* aInForce,
-                                       const BackendServer& aListed) const;
+  /// Returns how long an instance of a copy that is not in force is kept from it.
+  [[nodiscard]] Duration GraceOfUnknown(const std::string& aKey,
+                                        const BackendServer& aListed) const;
 
   DocumentAssembly assembly_;
   std::map<std::string, Held> held_;
   std::map<std::string, Removal> removals_;
   TimePoint expiryGraceEndsAt_{};
   SharedSnapshot running_; ///< during the listing of a copy
-  /// Instances of the running version by id that no item in force or in the copy has had so far.
+  /// Instances in force by id when the listing of a copy began, without those that it has had so
+  /// far.
   std::map<std::string, PublishedInstance> unlisted_;
 };
 
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -68,8 +68,7 @@
       return;
     }
     const bool isFirstPage = listing_ && !listing_->HasPages();
-    const auto known = IsListingHalfway() ? listing_->Revision() : revision_;
-    const auto history = era_.OnAnswer(aRead, known, isFirstPage);
+    const auto history = era_.OnAnswer(aRead, lowestRevision_, isFirstPage);
     if (history == StoreHistory::Outdated) {
       context_.GetMetrics().Count("platform_outdated_answers");
       OnReadFailed("answer of an earlier era");
@@ -78,6 +77,10 @@
     if (history == StoreHistory::Restored && revision_ != 0) {
       log_.Write("platform_restored", aRead, revision_);
     }
+    if (aRead.result_ == ReadResult::HistoryGone && listing_) {
+      OnReadFailed("no history in a listing");
+      return;
+    }
     if (aRead.result_ == ReadResult::HistoryGone) {
       log_.Write("platform_history_gone", aRead, revision_);
       BeginListing(history == StoreHistory::Restored ? ItemOrigin::Copy : ItemOrigin::Listing);
@@ -139,9 +142,9 @@
   {
     context_.GetMetrics().Count("platform_reads");
     contact_.OnReadSent(failing_, aNow);
+    lowestRevision_ = FindLowestRevision();
     if (listing_) {
-      readDeadline_ =
-        aNow + (failing_ ? ReaderTiming::kRetryReadTimeout : ReaderTiming::kReadTimeout);
+      readDeadline_ = aNow + ReaderTiming::kReadTimeout;
       context_.Ports().source_.ReadItems(listing_->AfterKey());
     } else {
       // A watch that the platform did not receive would hide its return for as long as it waits.
@@ -155,7 +158,25 @@
   /// Returns true if some pages of a listing were applied and others were not.
   [[nodiscard]] bool IsListingHalfway() const noexcept { return listing_ && listing_->HasPages(); }
 
-  void BeginListing(ItemOrigin aOrigin) { listing_ = Listing(aOrigin); }
+  /// Returns the lowest revision that a linearizable answer to a read that is sent now can have,
+  /// unless the store is restored.
+  [[nodiscard]] std::uint64_t FindLowestRevision() const
+  {
+    if (IsListingHalfway()) {
+      return listing_->Revision();
+    }
+    const auto& running = context_.Versions().CurrentId().number_;
+    const bool isOfPeer = listing_ && running.era_ == era_.Value();
+    return isOfPeer ? std::max(revision_, running.revision_) : revision_;
+  }
+
+  /// \param aOrigin Copy: nothing is published before the listing is complete, since what was read
+  /// before belongs to an earlier era.
+  void BeginListing(ItemOrigin aOrigin)
+  {
+    listing_ = Listing(aOrigin);
+    revision_ = aOrigin == ItemOrigin::Copy ? 0 : revision_;
+  }
 
   /// Lists the platform since a peer has published a version of a higher era. The jitter spreads
   /// the listings of the nodes that apply it at the same time.
@@ -165,6 +186,8 @@
       context_.Ports().source_.CancelRead();
       readDeadline_.reset();
     }
+    context_.Write(
+      LogEvent("platform_restored_for_peer").With("era", era_.Value()).With("previous", revision_));
     nextRead_ = aNow + DrawStartJitter();
     BeginListing(ItemOrigin::Copy);
   }
@@ -199,14 +222,13 @@
         log_.Write("platform_revision_fell", aRead, revision_);
       }
       // The answer is no page of a listing that began before it.
-      BeginListing(isRestored ? ItemOrigin::Copy : ItemOrigin::Listing);
+      const bool isCopy = isRestored || (listing_ && listing_->Origin() == ItemOrigin::Copy);
+      BeginListing(isCopy ? ItemOrigin::Copy : ItemOrigin::Listing);
       nextRead_ = context_.Now() + DrawStartJitter();
       return;
     }
     if (isRestored) {
-      listing_->MarkAsCopy();
-      revision_ =
-        revision_ == 0 ? 0 : aRead.revision_; // a repeated first page is no further restore
+      BeginListing(ItemOrigin::Copy);
     }
     if (listing_) {
       ApplyPage(aRead);
@@ -242,7 +264,8 @@
     }
     content_.Items().EndListing(listing.Keys(), listing.Origin(), context_.Now());
     const auto previous = std::exchange(revision_, listing.Revision());
-    spansChanges_ = listing.SpansChanges();
+    isPartial_ = listing.SpansChanges();
+    isAuditDue_ = false;
     listing_.reset();
     log_.Write("platform_listed", aRead, previous, content_.Items().HeldCount());
     Publish();
@@ -280,7 +303,7 @@
       return;
     }
     const auto previous = std::exchange(revision_, aRead.revision_);
-    spansChanges_ = false;
+    isPartial_ = isAuditDue_;
     for (const auto& item : aRead.items_) {
       content_.ApplyItem(item, ItemOrigin::Change);
     }
@@ -288,13 +311,16 @@
       log_.Write("platform_changed", aRead, previous, content_.Items().HeldCount());
       Publish();
     }
+    if (isAuditDue_) {
+      BeginListing(ItemOrigin::Listing);
+      nextRead_ = context_.Now() + timing_.readInterval_ + DrawStartJitter();
+    }
     log_.TrackLag(era_.Value(), revision_);
   }
 
   void Publish()
   {
-    content_.Publish(
-      { .era_ = era_.Value(), .revision_ = revision_, .spansChanges_ = spansChanges_ });
+    content_.Publish({ .era_ = era_.Value(), .revision_ = revision_, .isPartial_ = isPartial_ });
   }
 
   [[nodiscard]] bool ShouldWatch(TimePoint aNow) const
@@ -312,10 +338,8 @@
       std::max(context_.Now(), contact_.SentAt() + backoff.Draw(context_.Ports().random_)) +
       timing_.readInterval_;
     backoff = backoff.AfterFailure();
-    // Without an era, the revision alone does not show whether the store was restored meanwhile.
-    if (!era_.IsStated() && !listing_) {
-      BeginListing(ItemOrigin::Listing);
-    }
+    // Without an era, the changes alone do not show whether the store was restored meanwhile.
+    isAuditDue_ = isAuditDue_ || (!era_.IsStated() && !listing_);
     if (!std::exchange(failing_, true)) {
       context_.Write(LogEvent("platform_lost", Severity::Warning)
                        .With("detail", aDetail)
@@ -336,8 +360,10 @@
   std::optional<Listing> listing_ = Listing();
   std::uint64_t revision_ = 0; ///< of the last answer that was applied; 0: none
   StoreEra era_;
-  bool spansChanges_ = false; ///< the items changed between the pages of their listing
-  bool failing_ = false;      ///< the last read failed
+  std::uint64_t lowestRevision_ = 0; ///< see FindLowestRevision; for the read in flight
+  bool isPartial_ = false;           ///< the items may lack changes up to the revision
+  bool isAuditDue_ = false;          ///< a listing follows the next changes
+  bool failing_ = false;             ///< the last read failed
   bool isReadRequested_ = false;
 };
 
--- a/include/geraniumpin/process/store_era.hpp
+++ b/include/geraniumpin/process/store_era.hpp
@@ -40,18 +40,13 @@
   }
 
   /// \brief Applies an answer.
-  /// \param aKnownRevision Of the answer before; 0: there was none.
-  /// \param aIsListing Whether the answer is the first page of a listing.
+  /// \param aKnownRevision Lowest revision that the store can have if it was not restored; 0:
+  /// unknown. \param aIsListing Whether the answer is the first page of a listing.
   StoreHistory OnAnswer(const ItemsRead& aRead, std::uint64_t aKnownRevision, bool aIsListing)
   {
     isStated_ = aRead.era_.has_value();
     if (isStated_) {
-      if (*aRead.era_ < value_) {
-        return StoreHistory::Outdated;
-      }
-      const bool isHigher = *aRead.era_ > value_;
-      value_ = *aRead.era_;
-      return isHigher ? StoreHistory::Restored : StoreHistory::Same;
+      return OnStatedEra(*aRead.era_);
     }
     if (aRead.result_ != ReadResult::Complete || aRead.revision_ >= aKnownRevision) {
       return StoreHistory::Same;
@@ -59,13 +54,35 @@
     if (!aIsListing) {
       return StoreHistory::Suspected;
     }
+    isCounted_ = true;
     ++value_;
     return StoreHistory::Restored;
   }
 
 private:
+  StoreHistory OnStatedEra(std::uint64_t aStated)
+  {
+    const bool isOutdated = isCounted_ ? aStated < stated_.value_or(0) : aStated < value_;
+    if (isOutdated) {
+      return StoreHistory::Outdated;
+    }
+    const bool isNew = stated_ != aStated;
+    stated_ = aStated;
+    if (aStated > value_) {
+      value_ = aStated;
+      return StoreHistory::Restored;
+    }
+    if (isCounted_ && isNew) {
+      ++value_; // the count of this node went beyond what the store states
+      return StoreHistory::Restored;
+    }
+    return StoreHistory::Same;
+  }
+
   std::uint64_t value_ = 0;
-  bool isStated_ = false;
+  std::optional<std::uint64_t> stated_; ///< the latest one
+  bool isStated_ = false;               ///< by the latest answer
+  bool isCounted_ = false;              ///< this node raised the era itself
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/version/version_id.hpp
+++ b/include/geraniumpin/version/version_id.hpp
@@ -22,8 +22,10 @@
   std::uint64_t document_ = 0; ///< number of the operators' document; 0: not stated
   std::uint64_t era_ = 0;      ///< of the platform's store; 0: it states none and never went back
   std::uint64_t revision_ = 0; ///< of the platform's store; 0: no configuration
-  /// The content has some, but not all, of the changes that follow the revision.
-  bool interim_ = false;
+  /// Counts contents that come after that of the revision and before the next one: they have some,
+  /// but not all, of the changes that follow, or items that are held. 0: the content of the
+  /// revision.
+  std::uint32_t interim_ = 0;
 
   auto operator<=>(const VersionNumber&) const = default;
 };
@@ -61,7 +63,7 @@
   if (offered.document_ == 0 || running.document_ == 0) {
     return !isOfferUnordered && offered.revision_ > running.revision_;
   }
-  if (offered == running && offered.interim_) {
+  if (offered == running && offered.interim_ != 0) {
     return aOffered.digest_ > aRunning.digest_; // all nodes prefer the same one
   }
   return offered > running;
--- a/src/adapters/process/admin_gateway.cpp
+++ b/src/adapters/process/admin_gateway.cpp
@@ -32,7 +32,7 @@
            { "version", aStatus.version_.number_.document_ },
            { "revision", aStatus.version_.number_.revision_ },
            { "era", aStatus.version_.number_.era_ },
-           { "interim", aStatus.version_.number_.interim_ },
+           { "interim", aStatus.version_.number_.interim_ != 0 },
            { "digest", aStatus.version_.digest_.Hex() },
            { "state", ToString(aStatus.state_) },
            { "watcher", aStatus.watcher_ },
--- a/src/adapters/process/metrics_text.cpp
+++ b/src/adapters/process/metrics_text.cpp
@@ -53,7 +53,7 @@
   impl::WriteGauge(out, "document_version", number.document_);
   impl::WriteGauge(out, "platform_revision", number.revision_);
   impl::WriteGauge(out, "platform_era", number.era_);
-  impl::WriteGauge(out, "version_interim", number.interim_ ? 1 : 0);
+  impl::WriteGauge(out, "version_interim", number.interim_ != 0 ? 1 : 0);
   impl::WriteGauge(out, "serving", aStatus.state_ == NodeState::Serving ? 1 : 0);
   impl::WriteGauge(out, "watcher", aStatus.watcher_ ? 1 : 0);
   impl::WriteGauge(out, "home_teams", aStatus.leasedTeams_);
--- a/src/process/platform_items.cpp
+++ b/src/process/platform_items.cpp
@@ -13,10 +13,20 @@
 constexpr std::string_view kInForcePrefix = "in force ";
 constexpr std::string_view kDocumentInForce = "in force document";
 
+/// Returns true if the first state of an instance follows the second one. An instance that drains
+/// does not accept requests again before its next start.
+bool
+IsLater(const BackendServer& aFirst, const BackendServer& aSecond) noexcept
+{
+  return aFirst.startedAt_ != aSecond.startedAt_
+           ? aFirst.startedAt_ > aSecond.startedAt_
+           : aFirst.state_ == InstanceState::Draining && aSecond.state_ == InstanceState::Ready;
+}
+
 std::string
 MakeInForceKey(const std::string& aId)
 {
-  return std::string(kInForcePrefix) + "instance " + aId;
+  return std::string(kInForcePrefix) + aId;
 }
 
 std::uint64_t
@@ -35,13 +45,25 @@
   if (!running_) {
     return;
   }
-  for (auto& instance : ReadInstances(*running_)) {
-    unlisted_.emplace(instance.backendServer_.name_, instance);
-  }
+  std::map<std::string, PublishedInstance> known;
   for (const auto& key : assembly_.Keys()) {
-    if (const auto* known = std::get_if<PublishedInstance>(assembly_.Find(key))) {
-      unlisted_.erase(known->backendServer_.name_);
+    const auto* item = assembly_.Find(key);
+    const auto* instance = std::get_if<PublishedInstance>(item);
+    if (instance != nullptr) {
+      known.emplace(instance->backendServer_.name_, *instance);
     }
+    if (instance != nullptr || std::holds_alternative<DomainOutOfService>(*item)) {
+      Erase(key);
+    }
+  }
+  // The running version decides which instances are in force; this node can know a later state of
+  // one.
+  for (const auto& instance : ReadInstances(*running_)) {
+    const auto& id = instance.backendServer_.name_;
+    const auto found = known.find(id);
+    const bool isLater =
+      found != known.end() && IsLater(found->second.backendServer_, instance.backendServer_);
+    unlisted_.emplace(id, isLater ? found->second : instance);
   }
 }
 
@@ -61,8 +83,14 @@
   if (aOrigin == ItemOrigin::Listing && held != held_.end() && held->second.listed_ == aItem) {
     return; // not written again
   }
+  if (instance != nullptr && aOrigin == ItemOrigin::Listing && IsUndoneBy(aKey, *instance)) {
+    HoldInstance(aKey, nullptr, *instance, aNow + kOutdatedGrace);
+    return;
+  }
   if (instance != nullptr) {
     Erase(MakeInForceKey(instance->backendServer_.name_));
+  } else if (const auto* domain = std::get_if<DomainOutOfService>(&aItem)) {
+    Erase(MakeInForceKey(domain->name_));
   }
   Apply(aKey, std::move(aItem), aNow);
 }
@@ -84,58 +112,56 @@
                                  const PublishedInstance& aListed,
                                  TimePoint aNow)
 {
-  const auto& id = aListed.backendServer_.name_;
-  const auto* inForce = FindInForce(aKey, id);
-  const auto grace = GraceOfCopied(aKey, inForce, aListed.backendServer_);
-  if (grace == Duration{}) {
-    Apply(aKey, aListed, aNow);
+  const auto found = unlisted_.find(aListed.backendServer_.name_);
+  if (found == unlisted_.end()) {
+    HoldInstance(aKey, nullptr, aListed, aNow + GraceOfUnknown(aKey, aListed.backendServer_));
+    return;
+  }
+  if (IsLater(found->second.backendServer_, aListed.backendServer_)) {
+    HoldInstance(aKey, &found->second, aListed, aNow + kOutdatedGrace);
   } else {
-    if (inForce != nullptr) {
-      assembly_.Put(aKey, PublishedInstance(*inForce));
-    }
-    Hold(aKey, aNow + grace, aListed);
+    Apply(aKey, aListed, aNow);
   }
-  unlisted_.erase(id);
+  unlisted_.erase(found);
 }
 
-Duration
-PlatformItems::GraceOfCopied(const std::string& aKey,
-                             const PublishedInstance* aInForce,
-                             const BackendServer& aListed) const
+void
+PlatformItems::HoldInstance(const std::string& aKey,
+                            const PublishedInstance* aInForce,
+                            const PublishedInstance& aListed,
+                            TimePoint aUntil)
 {
   if (aInForce != nullptr) {
-    const auto& known = aInForce->backendServer_;
-    const bool isEarlierStart = aListed.startedAt_ < known.startedAt_;
-    // An instance that drains does not accept requests again before its next start.
-    const bool undoesDraining = aListed.startedAt_ == known.startedAt_ &&
-                                known.state_ == InstanceState::Draining &&
-                                aListed.state_ == InstanceState::Ready;
-    return isEarlierStart || undoesDraining ? Duration(kOutdatedGrace) : Duration{};
-  }
-  const auto removal = removals_.find(aKey);
-  if (removal != removals_.end() && aListed.startedAt_ <= removal->second.startedAt_) {
-    return kOutdatedGrace;
+    assembly_.Put(aKey, *aInForce);
   }
-  return kMissingGrace; // it has left, or the running version does not have it yet
+  Hold(aKey, aUntil, aListed);
 }
 
-const PublishedInstance*
-PlatformItems::FindInForce(const std::string& aKey, const std::string& aId) const
+bool
+PlatformItems::IsUndoneBy(const std::string& aKey, const PublishedInstance& aListed) const
 {
-  if (const auto* known = assembly_.Find(aKey)) {
-    return std::get_if<PublishedInstance>(known);
-  }
-  const auto found = unlisted_.find(aId);
-  return found == unlisted_.end() ? nullptr : &found->second;
+  const auto* known = assembly_.Find(aKey);
+  const auto* instance = known == nullptr ? nullptr : std::get_if<PublishedInstance>(known);
+  return instance != nullptr && IsLater(instance->backendServer_, aListed.backendServer_);
+}
+
+Duration
+PlatformItems::GraceOfUnknown(const std::string& aKey, const BackendServer& aListed) const
+{
+  const auto removal = removals_.find(aKey);
+  const bool hasLeft =
+    removal != removals_.end() && aListed.startedAt_ <= removal->second.startedAt_;
+  return hasLeft ? kOutdatedGrace : kMissingGrace; // it can also be newer than the running version
 }
 
 void
 PlatformItems::Remove(const std::string& aKey, TimePoint aNow)
 {
   const auto* known = assembly_.Find(aKey);
-  const bool isInstance = known != nullptr && std::holds_alternative<PublishedInstance>(*known);
-  if (isInstance && aNow < expiryGraceEndsAt_) {
-    Hold(aKey, expiryGraceEndsAt_, std::nullopt);
+  const auto* instance = known == nullptr ? nullptr : std::get_if<PublishedInstance>(known);
+  if (instance != nullptr && aNow < expiryGraceEndsAt_) {
+    held_.erase(aKey);
+    held_.emplace(aKey, Held{ expiryGraceEndsAt_, false, std::nullopt });
     return;
   }
   Apply(aKey, std::nullopt, aNow);
@@ -159,15 +185,10 @@
     if (held != held_.end() && !held->second.listed_) {
       continue; // missing since an earlier listing
     }
-    const auto* item = assembly_.Find(key);
     if (aOrigin != ItemOrigin::Copy) {
       Remove(key, aNow);
-    } else if (std::holds_alternative<PublishedInstance>(*item)) {
-      Hold(key, aNow + kMissingGrace, std::nullopt);
-    } else if (std::holds_alternative<DomainOutOfService>(*item)) {
-      Hold(key, aNow + kOutOfServiceGrace, std::nullopt);
     } else {
-      Hold(key, kNoEnd, std::nullopt);
+      Hold(key, kNoEnd, std::nullopt); // a document, or a list of VMs
     }
   }
   // Items that were never in force and that the platform no longer has.
@@ -177,6 +198,7 @@
   if (aOrigin == ItemOrigin::Copy && running_) {
     KeepDocumentInForce();
     KeepInstancesInForce(aNow);
+    KeepDomainsOutOfService(aNow);
   }
   running_.reset();
   unlisted_.clear();
@@ -214,6 +236,23 @@
   }
 }
 
+/// Holds the failure domains that are out of service in the running version and not in the copy.
+void
+PlatformItems::KeepDomainsOutOfService(TimePoint aNow)
+{
+  if (FindInstancePlace() == InstancePlace::Document) {
+    return;
+  }
+  for (const auto& domain : assembly_.FailureDomains().failureDomains_) {
+    const auto* running = running_->FindFailureDomain(domain.name_);
+    if (domain.inService_ && running != nullptr && !running->inService_) {
+      const auto key = MakeInForceKey(domain.name_);
+      assembly_.Put(key, DomainOutOfService{ domain.name_ });
+      Hold(key, aNow + kOutOfServiceGrace, std::nullopt);
+    }
+  }
+}
+
 void
 PlatformItems::Apply(const std::string& aKey, std::optional<DecodedItem> aItem, TimePoint aNow)
 {
@@ -226,9 +265,11 @@
   const auto* known = assembly_.Find(aKey);
   const auto* instance = known == nullptr ? nullptr : std::get_if<PublishedInstance>(known);
   if (instance != nullptr) {
-    std::erase_if(removals_, [&](const auto& aEntry) {
-      return aEntry.second.removedAt_ + kRemovalRecord < aNow;
-    });
+    if (removals_.size() >= kMaxRemovals) {
+      std::erase_if(removals_, [&](const auto& aEntry) {
+        return aEntry.second.removedAt_ + kRemovalRecord < aNow;
+      });
+    }
     if (removals_.size() < kMaxRemovals) {
       removals_.insert_or_assign(aKey, Removal{ instance->backendServer_.startedAt_, aNow });
     }
@@ -268,7 +309,14 @@
 PlatformItems::Hold(const std::string& aKey, TimePoint aUntil, std::optional<DecodedItem> aListed)
 {
   held_.erase(aKey);
-  held_.emplace(aKey, Held{ aUntil, std::move(aListed) });
+  held_.emplace(aKey, Held{ aUntil, true, std::move(aListed) });
+}
+
+bool
+PlatformItems::HoldsAgainstCopy() const
+{
+  return std::any_of(
+    held_.begin(), held_.end(), [](const auto& aEntry) { return aEntry.second.isAgainstCopy_; });
 }
 
 std::uint64_t
--- a/src/version/version_store.cpp
+++ b/src/version/version_store.cpp
@@ -35,7 +35,7 @@
   const bool sameNumber = number.document_ == 0 && running.era_ == 0
                             ? number.revision_ == running.revision_
                             : number == running;
-  return sameNumber && !running.interim_ && aId.digest_ != aRunning.digest_;
+  return sameNumber && running.interim_ == 0 && aId.digest_ != aRunning.digest_;
 }
 
 } // namespace
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const VersionId kVersion{ { .document_ = 3, .era_ = 2, .revision_ = 7, .interim_ = true },
+const VersionId kVersion{ { .document_ = 3, .era_ = 2, .revision_ = 7, .interim_ = 2 },
                           Digest::Compute("seven") };
 
 Envelope
--- a/tests/support/reader_fixture.hpp
+++ b/tests/support/reader_fixture.hpp
@@ -123,6 +123,20 @@
     reader_.OnItemsRead(aRead);
   }
 
+  /// \brief Answers a listing; a watch that is in flight before it is answered without changes.
+  void AnswerListing(const ItemsRead& aRead)
+  {
+    Advance(milliseconds(300));
+    if (!source_.isListing_) {
+      auto unchanged = aRead;
+      unchanged.items_.clear();
+      reader_.OnItemsRead(unchanged);
+      Advance(milliseconds(700));
+    }
+    BOOST_REQUIRE(source_.isListing_);
+    reader_.OnItemsRead(aRead);
+  }
+
   /// \brief Answers the read in flight: the instance of the other node was removed.
   void AnswerWithRemoval()
   {
