--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -74,6 +74,27 @@
 }
 
 // Nodes of two releases run side by side while a new one is deployed.
+BOOST_AUTO_TEST_CASE(a_version_of_an_earlier_release_has_neither_document_nor_era)
+{
+  // number and digest, as the release before encoded them
+  const auto encode = [](const VersionId& aId) {
+    return "\x08" + std::string(1, static_cast<char>(aId.number_.revision_)) + "\x12\x20" +
+           std::string(aId.digest_.Bytes().begin(), aId.digest_.Bytes().end());
+  };
+  const VersionId earlier{ { .revision_ = 7 }, Digest::Compute("seven") };
+  const auto newFields = std::string("\x18\x03\x20\x02\x28\x01", 6); // document, era, interim
+  const auto bytes = EncodeEnvelope(Wrap(TakeoverRequest{ 1 }));
+  const auto body = encode(kVersion) + newFields;
+  // An earlier decoder skips the new fields, which come after what it knows.
+  const auto at = bytes.find(static_cast<char>(body.size()) + body);
+  BOOST_REQUIRE(at != std::string::npos);
+  auto older = bytes;
+  older.replace(at, 1 + body.size(), static_cast<char>(encode(earlier).size()) + encode(earlier));
+  const auto decoded = DecodeEnvelope(older);
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((decoded->senderVersion_ == earlier));
+}
+
 BOOST_AUTO_TEST_CASE(a_link_header_is_read_back_and_may_be_absent)
 {
   const LinkHeader header{ .confirmed_ = milliseconds(1234), .replacements_ = 5 };
