Let a node work again whose VM is listed again

A VM that the list of VMs once lacked got no work until its next start. Cause: the state Gone was final for an incarnation, also after the list had the VM again. A platform that comes back from an older copy lists fewer VMs from the first change of the list until the missing entries are written again.

A VM that is listed again is Alive with one more refutation, which overrides the earlier Gone at nodes that learn of it by gossip; a Gone with fewer refutations is late and ignored.

membership_test failed before (6 checks) and passes.

--- a/include/geraniumpin/process/membership.hpp
+++ b/include/geraniumpin/process/membership.hpp
@@ -37,6 +37,8 @@
   void OnEvents(const std::vector<MemberEvent>& aEvents);
 
   /// \brief Applies the platform's list of VMs; a revision below the last one is ignored.
+  ///
+  /// A VM that is listed again accepts work again: a list of an older copy can lack it for a while.
   void OnVmList(const VmList& aList);
 
   /// \brief Records the nodes of a new configuration.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -11,13 +11,16 @@
 bool
 Overrides(const MemberEvent& aNew, std::uint64_t aBeat, MemberState aState) noexcept
 {
-  const auto isFinal = [](MemberState aValue) {
-    return aValue == MemberState::Leaving || aValue == MemberState::Gone;
-  };
-  if (isFinal(aState)) {
-    return aNew.state_ > aState;
+  if (aState == MemberState::Gone) {
+    return aNew.refutations_ > aBeat; // the VM is listed again
   }
-  if (isFinal(aNew.state_)) {
+  if (aNew.state_ == MemberState::Gone) {
+    return aNew.refutations_ >= aBeat;
+  }
+  if (aState == MemberState::Leaving) {
+    return false;
+  }
+  if (aNew.state_ == MemberState::Leaving) {
     return true;
   }
   return aNew.refutations_ > aBeat || (aNew.refutations_ == aBeat && aNew.state_ > aState);
@@ -130,6 +133,11 @@
     }
   }
   for (const auto& [node, isLeaving] : leaving) {
+    if (auto event = MakeEvent(node); event.state_ == MemberState::Gone) {
+      ++event.refutations_;
+      event.state_ = MemberState::Alive;
+      ApplyEvent(event);
+    }
     if (isLeaving && node != self_) {
       auto event = MakeEvent(node);
       event.state_ = MemberState::Leaving;
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -87,6 +87,38 @@
   BOOST_TEST(members.IsTerminated(NodeAt(1, 2), kStart));
 }
 
+// A platform that comes back from an older copy lists fewer VMs until its list is written again.
+// The VMs that it lacked got no work until their next start.
+BOOST_AUTO_TEST_CASE(a_node_whose_vm_is_listed_again_accepts_work)
+{
+  const auto list = [](std::uint64_t aRevision, const std::vector<NodeAddress>& aNodes) {
+    VmList vms{ .revision_ = aRevision };
+    for (const auto& node : aNodes) {
+      vms.vms_.push_back({ node, {}, "zone-1", false });
+    }
+    return vms;
+  };
+  Membership reader(NodeAt(1, 1), "zone-1", 1);
+  Membership other(NodeAt(1, 2), "zone-1", 1); // learns of VMs by its peers only
+  const auto node = NodeAt(1, 3);
+  reader.OnContact(node, 7, kStart);
+  other.OnContact(node, 7, kStart);
+  reader.OnVmList(list(1, { NodeAt(1, 1), NodeAt(1, 2), node }));
+  for (std::uint64_t revision = 2; revision < 6; revision += 2) {
+    reader.OnVmList(list(revision, { NodeAt(1, 1), NodeAt(1, 2) }));
+    const auto gone = reader.NextGossipEvents();
+    other.OnEvents(gone);
+    BOOST_TEST(!reader.AcceptsWork(node));
+    BOOST_TEST(!other.AcceptsWork(node));
+    reader.OnVmList(list(revision + 1, { NodeAt(1, 1), NodeAt(1, 2), node }));
+    BOOST_TEST(reader.AcceptsWork(node));
+    other.OnEvents(reader.NextGossipEvents());
+    BOOST_TEST(other.AcceptsWork(node));
+    other.OnEvents(gone); // arrives again, late
+    BOOST_TEST(other.AcceptsWork(node));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_tree_reaches_every_node_exactly_once)
 {
   const auto nodes = MakeNodes(1200);
