Keep the highest versions of two releases apart

A new lessor granted, and a starting node served, on an older version than a peer had stated. Cause: both keep the highest stated version in one value. A node of an earlier release states a revision alone, which is not ordered with versions of a later era, and once it was kept it hid all of them.

HighestVersion keeps what nodes of earlier releases state apart.

--- a/include/geraniumpin/process/gossip_service.hpp
+++ b/include/geraniumpin/process/gossip_service.hpp
@@ -5,6 +5,7 @@
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/platform_reader.hpp"
 #include "geraniumpin/request/route_decision.hpp"
+#include "geraniumpin/version/highest_version.hpp"
 
 #include <algorithm>
 #include <set>
@@ -55,9 +56,7 @@
     }
     if (!confirmed_) {
       answeringPeers_.insert(aEnvelope.sender_);
-      if (Supersedes(aEnvelope.senderVersion_, highestAnnounced_)) {
-        highestAnnounced_ = aEnvelope.senderVersion_;
-      }
+      highestAnnounced_ = highestAnnounced_.With(aEnvelope.senderVersion_);
       CheckConfirmation();
     }
   }
@@ -228,7 +227,7 @@
   void CheckConfirmation()
   {
     const auto current = context_.Versions().CurrentId();
-    if (!IsConfiguration(current) || Supersedes(highestAnnounced_, current)) {
+    if (!IsConfiguration(current) || highestAnnounced_.IsAbove(current)) {
       return;
     }
     const bool delayPassed = context_.Now() - startedAt_ >= kSinglePeerDelay;
@@ -264,7 +263,7 @@
   TimePoint nextCrossDomainAt_;
   bool confirmed_ = false;
   std::set<NodeAddress> answeringPeers_;
-  VersionId highestAnnounced_;
+  HighestVersion highestAnnounced_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/lessor_takeover.hpp
+++ b/include/geraniumpin/process/lessor_takeover.hpp
@@ -2,6 +2,7 @@
 
 #include "geraniumpin/connection/message.hpp"
 #include "geraniumpin/process/token_lessor.hpp"
+#include "geraniumpin/version/highest_version.hpp"
 
 #include <optional>
 #include <set>
@@ -57,7 +58,7 @@
 
   bool active_ = false;
   VersionId version_;
-  VersionId highestVersion_; ///< that any node stated
+  HighestVersion highestVersion_; ///< that any node stated
   Duration wait_{};
   std::set<NodeAddress> unconfirmed_;
   std::set<NodeAddress> confirmed_;
--- a/src/process/lessor_takeover.cpp
+++ b/src/process/lessor_takeover.cpp
@@ -38,9 +38,7 @@
   if (!active_) {
     return;
   }
-  if (Supersedes(aVersion, highestVersion_)) {
-    highestVersion_ = aVersion;
-  }
+  highestVersion_ = highestVersion_.With(aVersion);
   if (!Supersedes(version_, aVersion)) {
     RecordConfirmation(aNode, aNow);
   }
@@ -77,7 +75,7 @@
   if (!active_ || !unconfirmed_.empty() || aNow < lastConfirmedAt_ + wait_) {
     return false;
   }
-  if (Supersedes(highestVersion_, aRunning)) {
+  if (highestVersion_.IsAbove(aRunning)) {
     nextRecheck_ = aNow + kRepeatInterval; // the highest version has not arrived here yet
     return false;
   }
--- a/tests/process/team_limits_test.cpp
+++ b/tests/process/team_limits_test.cpp
@@ -218,6 +218,24 @@
   BOOST_TEST(takeover.TryComplete(Version(8), clock.Now()));
 }
 
+// The revision that a node of an earlier release stated hid the higher version of another node.
+BOOST_AUTO_TEST_CASE(a_new_lessor_waits_for_a_higher_version_beside_nodes_of_an_earlier_release)
+{
+  const VersionId running{ { .document_ = 3, .era_ = 1, .revision_ = 40 }, {} };
+  const VersionId higher{ { .document_ = 4, .era_ = 1, .revision_ = 41 }, {} };
+  const VersionId earlierRelease{ { .revision_ = 90 }, {} };
+  for (const bool earlierFirst : { true, false }) {
+    LessorTakeover takeover;
+    FakeClock clock;
+    takeover.Begin(running, { NodeAt(1, 2), NodeAt(1, 3) }, clock.Now());
+    takeover.OnVersion(NodeAt(1, 2), earlierFirst ? earlierRelease : higher, clock.Now());
+    takeover.OnVersion(NodeAt(1, 3), earlierFirst ? higher : earlierRelease, clock.Now());
+    clock.Set(clock.Now() + std::chrono::seconds(60));
+    BOOST_TEST(!takeover.TryComplete(running, clock.Now()));
+    BOOST_TEST(takeover.TryComplete(higher, clock.Now()));
+  }
+}
+
 namespace {
 
 constexpr DocumentOptions kOneDomain{ .domains_ = 1,
