Hold older entries of instances in any listing

Requests reached an instance that was leaving, and an earlier start replaced a later one. Cause: entries were held only in the listing of a known copy. A store that states no era, and whose revision has passed its old value before it answers again, is not known as one.

An entry of a listing that goes back behind the one in force, to an earlier start or from draining to ready, is held as in a copy.

--- a/include/geraniumpin/process/platform_items.hpp
+++ b/include/geraniumpin/process/platform_items.hpp
@@ -103,6 +103,9 @@
   void PutCopiedInstance(const std::string& aKey, const PublishedInstance& aListed, TimePoint aNow);
   void KeepDocumentInForce();
   void KeepInstancesInForce(TimePoint aNow);
+  /// Returns true if a listed entry is older than the one in force. A copy need not be known as
+  /// one: its revision can have passed the old value, and it may state no era.
+  [[nodiscard]] bool IsOutdated(const std::string& aKey, const PublishedInstance& aListed) const;
   [[nodiscard]] std::uint64_t DocumentNumber() const;
   [[nodiscard]] InstancePlace FindInstancePlace() const;
   /// Returns the instance in force with that id, by the items or by the running version.
--- a/src/process/platform_items.cpp
+++ b/src/process/platform_items.cpp
@@ -61,12 +61,25 @@
   if (aOrigin == ItemOrigin::Listing && held != held_.end() && held->second.listed_ == aItem) {
     return; // not written again
   }
+  if (aOrigin == ItemOrigin::Listing && instance != nullptr && IsOutdated(aKey, *instance)) {
+    Hold(aKey, aNow + kOutdatedGrace, std::move(aItem));
+    return;
+  }
   if (instance != nullptr) {
     Erase(MakeInForceKey(instance->backendServer_.name_));
   }
   Apply(aKey, std::move(aItem), aNow);
 }
 
+bool
+PlatformItems::IsOutdated(const std::string& aKey, const PublishedInstance& aListed) const
+{
+  const auto* known = assembly_.Find(aKey);
+  const auto* inForce = known == nullptr ? nullptr : std::get_if<PublishedInstance>(known);
+  return inForce != nullptr &&
+         GraceOfCopied(aKey, inForce, aListed.backendServer_) == Duration(kOutdatedGrace);
+}
+
 void
 PlatformItems::PutDocument(const std::string& aKey, DecodedItem aItem)
 {
--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -60,3 +60,38 @@
            .revision_ = 7 });
   BOOST_TEST((FindInstance(kOther)->state_ == InstanceState::Draining));
 }
+
+// The store states no era, and its revision had passed the old value before it answered again, so
+// only its items show that it was restored. Requests reached an instance that was leaving.
+BOOST_FIXTURE_TEST_CASE(an_older_entry_in_a_listing_does_not_undo_leaving, RestoredStore)
+{
+  const auto draining = "draining 5";
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { kOther.Text(), draining } },
+           .revision_ = 11 });
+  Outage(milliseconds(700));
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { "document", "" }, { kSelf.Text(), "" }, { kOther.Text(), "ready 5" } },
+           .revision_ = 12 });
+  BOOST_REQUIRE(IsPublished(kOther));
+  BOOST_TEST((FindInstance(kOther)->state_ == InstanceState::Draining));
+  // An entry that is not written again takes effect.
+  Advance(PlatformItems::kOutdatedGrace);
+  BOOST_TEST((FindInstance(kOther)->state_ == InstanceState::Ready));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_earlier_start_in_a_listing_does_not_replace_a_later_one, RestoredStore)
+{
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { kOther.Text(), "ready 5" } },
+           .revision_ = 11 });
+  Outage(milliseconds(700));
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { "document", "" }, { kSelf.Text(), "" }, { kOther.Text(), "ready 4" } },
+           .revision_ = 12 });
+  BOOST_TEST(FindInstance(kOther)->startedAt_ == 5U);
+  Answer({ .result_ = ReadResult::Complete,
+           .items_ = { { kOther.Text(), "ready 6" } },
+           .revision_ = 13 });
+  BOOST_TEST(FindInstance(kOther)->startedAt_ == 6U);
+}
