Let a requested read go on to the last page

A node that does not watch and was asked to read the platform once sent one request: a listing of several pages, or one that follows the answer that the history is gone, did not go on. Cause: the request was forgotten when the first read was sent. It is now kept until a read is complete. No code requested reads so far.

platform_reader_test: 2 checks of the new case failed before and pass.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -116,14 +116,14 @@
     }
     if (!readDeadline_ && now >= nextRead_) {
       nextRead_ = now + kWatchCheckPeriod;
-      if (ShouldWatch(now) || std::exchange(isReadRequested_, false)) {
+      if (ShouldWatch(now) || isReadRequested_) {
         Read(now);
       }
     }
   }
 
   /// \brief Makes this node read the platform once, also if it does not watch it: it cannot tell by
-  /// its peers what is in force.
+  /// its peers what is in force. The read goes on until it is complete.
   void RequestRead() noexcept { isReadRequested_ = true; }
 
   [[nodiscard]] TimePoint NextDeadline() const noexcept
@@ -221,6 +221,7 @@
       ApplyChanges(aRead);
     }
     if (!listing_) { // a page of a listing that may fail is no success yet
+      isReadRequested_ = false;
       backoff_ = backoff_.AfterSuccess();
       backupBackoff_ = backupBackoff_.AfterSuccess();
     }
--- a/tests/process/platform_reader_test.cpp
+++ b/tests/process/platform_reader_test.cpp
@@ -90,3 +90,55 @@
   }
   BOOST_TEST((longestPause + kSlowAnswer < kBound));
 }
+
+namespace {
+
+/// A node of a failure domain of 20 nodes, in which others watch the platform.
+struct UnwatchingReader : ReaderFixture
+{
+  UnwatchingReader()
+  {
+    ItemsRead read{ .result_ = ReadResult::Complete, .revision_ = 11 };
+    for (int index = 3; index <= 20; ++index) {
+      read.items_.push_back({ NodeAt(1, index).Text(), "" });
+    }
+    Answer(read);
+    BOOST_REQUIRE(!context_.ComputeWatcherRank().IsWatcher());
+  }
+
+  /// \brief Lets time pass in which other nodes read the platform.
+  void AdvanceWithOthers(Duration aTime)
+  {
+    const auto end = mesh_.clock_.Now() + aTime;
+    while (mesh_.clock_.Now() < end) {
+      reader_.OnReportedAge(milliseconds(100));
+      Advance(milliseconds(50));
+    }
+  }
+};
+
+} // namespace
+
+// The answer that the history is gone, and each page but the last, ended the read.
+BOOST_FIXTURE_TEST_CASE(a_requested_read_goes_on_to_the_last_page, UnwatchingReader)
+{
+  const auto listings = source_.listings_;
+  AdvanceWithOthers(std::chrono::seconds(1));
+  reader_.RequestRead();
+  AdvanceWithOthers(milliseconds(300));
+  reader_.OnItemsRead({ .result_ = ReadResult::HistoryGone });
+  AdvanceWithOthers(milliseconds(300));
+  ItemsRead page{ .result_ = ReadResult::Complete, .hasMore_ = true, .revision_ = 12 };
+  for (int index = 1; index <= 20; ++index) {
+    page.items_.push_back({ NodeAt(1, index).Text(), "" });
+  }
+  reader_.OnItemsRead(page);
+  AdvanceWithOthers(milliseconds(300));
+  reader_.OnItemsRead(
+    { .result_ = ReadResult::Complete, .items_ = { { "document", "2" } }, .revision_ = 12 });
+  BOOST_TEST(source_.listings_ == listings + 2);
+  BOOST_TEST(DocumentInForce() == 2U);
+  const auto reads = Count("platform_reads");
+  AdvanceWithOthers(std::chrono::seconds(5));
+  BOOST_TEST(Count("platform_reads") == reads);
+}
