Do not let a requested read wait for the pause of a backup watcher

After an outage a requested read waited for the next read of a backup watcher, up to 60 s, although the platform answered other nodes again. While the platform is silent, requests add no reads.

platform_reader_test: 1 check failed before and passes; the case that requests add no reads in an outage passes before and after.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -124,7 +124,16 @@
 
   /// \brief Makes this node read the platform once, also if it does not watch it: it cannot tell by
   /// its peers what is in force. The read goes on until it is complete.
-  void RequestRead() noexcept { isReadRequested_ = true; }
+  ///
+  /// It does not wait for the pause after failures once other nodes have had answers.
+  void RequestRead()
+  {
+    isReadRequested_ = true;
+    if (failing_ && PlatformAge() < kExpiryOutage) {
+      nextRead_ =
+        std::min(nextRead_, std::max(context_.Now(), readSentAt_ + timing_.readInterval_));
+    }
+  }
 
   [[nodiscard]] TimePoint NextDeadline() const noexcept
   {
--- a/tests/process/platform_reader_test.cpp
+++ b/tests/process/platform_reader_test.cpp
@@ -142,3 +142,26 @@
   AdvanceWithOthers(std::chrono::seconds(5));
   BOOST_TEST(Count("platform_reads") == reads);
 }
+
+// After an outage, a requested read waited for the pause of a backup watcher, which is up to 60 s.
+BOOST_FIXTURE_TEST_CASE(a_requested_read_follows_the_return_of_the_platform, UnwatchingReader)
+{
+  Outage(std::chrono::minutes(5));
+  AdvanceWithOthers(milliseconds(50));
+  const auto reads = Count("platform_reads");
+  reader_.RequestRead();
+  AdvanceWithOthers(milliseconds(300));
+  BOOST_TEST(Count("platform_reads") == reads + 1);
+}
+
+// While the platform is away, requests do not add to the reads of backup watchers.
+BOOST_FIXTURE_TEST_CASE(requested_reads_keep_the_pauses_of_an_outage, UnwatchingReader)
+{
+  Outage(std::chrono::minutes(5));
+  const auto reads = Count("platform_reads");
+  for (int second = 0; second < 60; ++second) {
+    reader_.RequestRead();
+    Outage(std::chrono::seconds(1));
+  }
+  BOOST_TEST(Count("platform_reads") <= reads + 10);
+}
