Read the platform once when peers offer versions that cannot be ordered

Beside watchers of an earlier release, nodes of the new one took no changes after a restore until the revision had passed its old value: what earlier nodes offer then has no place in the order.

UnorderedOffers decides when a node that is offered such a version, and has not got a newer one otherwise within a second, reads the platform itself: after a jitter of up to 300 ms, and at most once a second. FakeMesh models nodes of the earlier release.

unordered_offers_test, convergence_test and mixed_releases_test pass: in calm, meshes of 18 nodes converge within 3 s with earlier watchers, new watchers or half of each; after a restore all new nodes take each change within 3 s although all watchers that reach the platform are earlier ones, none goes back, and earlier nodes recover when the revision has passed its old value.

--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -11,6 +11,7 @@
 #include "geraniumpin/process/request_intake.hpp"
 #include "geraniumpin/process/team_limits.hpp"
 #include "geraniumpin/process/turn_monitor.hpp"
+#include "geraniumpin/process/unordered_offers.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -99,6 +100,10 @@
       }
       gossip_.OnEnvelope(aEnvelope);
       config_.OnAnnouncedVersion(aEnvelope);
+      unorderedOffers_.OnOffer(aEnvelope.senderVersion_,
+                               context_.Versions().CurrentId(),
+                               context_.Now(),
+                               context_.Ports().random_);
     }
     std::visit([&](const auto& aPayload) { Handle(aEnvelope, aPayload); }, aEnvelope.payload_);
     DeliverLocalMessages();
@@ -128,6 +133,9 @@
   {
     gossip_.OnTimer();
     config_.OnTimer();
+    if (unorderedOffers_.TakeDue(context_.Versions().CurrentId(), context_.Now())) {
+      reader_.RequestRead();
+    }
     reader_.OnTimer();
     limits_.OnTimer();
     entry_.OnTimer();
@@ -175,7 +183,8 @@
     for (const auto& time : { config_.NextDeadline(),
                               limits_.NextDeadline(),
                               entry_.NextDeadline(),
-                              owner_.NextDeadline() }) {
+                              owner_.NextDeadline(),
+                              unorderedOffers_.NextDeadline() }) {
       next = time ? std::min(next, *time) : next;
     }
     return intake_.Held() > 0 ? std::min(next, context_.Now()) : next;
@@ -405,6 +414,7 @@
   ConfigService<PortSet> config_;
   PlatformReader<PortSet> reader_;
   GossipService<PortSet> gossip_;
+  UnorderedOffers unorderedOffers_;
   RequestIntake<PortSet> intake_; ///< empty without overload control
   NodeSaturation saturation_;     ///< zero without overload control
   SaturationInputs measured_;     ///< in the turn in progress
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -32,7 +32,7 @@
   /// Delay of the first read of a node with seeds, in which its peers can deliver a version.
   static constexpr std::chrono::milliseconds kSeededStartDelay{ 600 };
   /// Range of the random delay that spreads the first reads of nodes that start together.
-  static constexpr std::chrono::milliseconds kStartJitter{ 300 };
+  static constexpr auto kStartJitter = ReaderTiming::kStartJitter;
   static constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
   /// Longest pause after failures of a backup watcher, so that during an outage not all nodes read
   /// the platform.
--- a/include/geraniumpin/process/reader_timing.hpp
+++ b/include/geraniumpin/process/reader_timing.hpp
@@ -18,6 +18,8 @@
   static constexpr std::chrono::milliseconds kReadTimeout{ 700 };
   /// Timeout of a read of the changes after a failure, which does not wait for changes.
   static constexpr std::chrono::milliseconds kRetryReadTimeout{ 1300 };
+  /// Range of the random delay that spreads the reads of nodes that have the same reason to read.
+  static constexpr std::chrono::milliseconds kStartJitter{ 300 };
   /// Time for the answer to the read that replaces a silent connection, and for its version.
   static constexpr std::chrono::milliseconds kAnswerAndApply{ 350 };
   /// Shortest time for which a watch waits.
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -119,6 +119,7 @@
   void Start(const NodeAddress& aNode, const std::string& aDomain)
   {
     ForgetConnections(aNode);
+    highestRead_.erase(aNode);
     auto& fake = nodes_[aNode];
     if (fake) {
       stoppedNodes_.push_back(std::move(fake)); // pending events refer to its ports
@@ -264,7 +265,11 @@
   std::function<bool(const NodeAddress&, const NodeAddress&)> isPartitioned_;
   bool platformDown_ = false;
   bool overloadControl_ = false; ///< of the nodes that are started from here on
-  bool sameIncarnation_ = false; ///< nodes start with incarnation 1, as if at the same time
+  /// Nodes of the release before, which know neither document nor era nor interim versions, and
+  /// ignore answers of the platform with a lower revision than before.
+  std::set<NodeAddress> earlierNodes_;
+  std::optional<std::uint64_t> era_; ///< that the platform states
+  bool sameIncarnation_ = false;     ///< nodes start with incarnation 1, as if at the same time
   /// Whether the platform fails for a node; may be empty.
   std::function<bool(const NodeAddress&)> isPlatformUnreachable_;
   std::map<NodeAddress, std::size_t> platformReads_;
@@ -365,12 +370,51 @@
           silentConnections_.contains({ aFrom, aTo })) {
         continue;
       }
-      At(DrawDelay(), [this, aTo, aMessage] {
-        Deliver(aTo, [this, aTo, aMessage] { At(aTo).OnEnvelope(aMessage); });
+      At(DrawDelay(), [this, aFrom, aTo, aMessage] {
+        const bool isMixed = earlierNodes_.contains(aFrom) || earlierNodes_.contains(aTo);
+        const auto message = isMixed ? AsOfEarlierRelease(aMessage) : aMessage;
+        Deliver(aTo, [this, aTo, message] { At(aTo).OnEnvelope(message); });
       });
     }
   }
 
+  /// Returns what a node of the release before reads and writes of a message.
+  static Envelope AsOfEarlierRelease(const Envelope& aMessage)
+  {
+    const auto strip = [](const VersionId& aId) {
+      return VersionId{ { .revision_ = aId.number_.revision_ }, aId.digest_ };
+    };
+    auto payload = aMessage.payload_;
+    if (const auto* pull = std::get_if<VersionPull>(&aMessage.payload_)) {
+      payload.emplace<VersionPull>(VersionPull{ strip(pull->runningVersion_), pull->parts_ });
+    } else if (const auto* push = std::get_if<VersionPush>(&aMessage.payload_)) {
+      const auto& delta = push->delta_;
+      payload.emplace<VersionPush>(VersionPush{ { .from_ = strip(delta.from_),
+                                                  .to_ = strip(delta.to_),
+                                                  .changed_ = delta.changed_,
+                                                  .removed_ = delta.removed_ },
+                                                push->relay_ });
+    }
+    return { .sender_ = aMessage.sender_,
+             .senderIncarnation_ = aMessage.senderIncarnation_,
+             .receiverIncarnation_ = aMessage.receiverIncarnation_,
+             .senderVersion_ = strip(aMessage.senderVersion_),
+             .sentAt_ = aMessage.sentAt_,
+             .link_ = aMessage.link_,
+             .payload_ = std::move(payload) };
+  }
+
+  /// Returns what a node of the release before makes of an answer of the platform.
+  ItemsRead AsReadByEarlierRelease(const NodeAddress& aNode, ItemsRead aRead)
+  {
+    if (aRead.revision_ < highestRead_[aNode]) {
+      aRead.items_.clear();
+    }
+    aRead.revision_ = std::max(aRead.revision_, highestRead_[aNode]);
+    aRead.era_.reset();
+    return aRead;
+  }
+
   /// Delivers an event only to the incarnation of a node that owns the ports.
   void DeliverToIncarnation(const FakePorts& aPorts,
                             const std::function<void(Node<FakeNodePorts>&)>& aAction)
@@ -391,6 +435,7 @@
   std::set<std::pair<NodeAddress, NodeAddress>> openConnections_;
   std::set<std::pair<NodeAddress, NodeAddress>> silentConnections_;
   std::priority_queue<Event> events_;
+  std::map<NodeAddress, std::uint64_t> highestRead_; ///< revision of the platform
   std::uint64_t sequence_ = 0;
   std::uint64_t incarnations_ = 0;
   std::uint64_t calls_ = 0;
@@ -494,11 +539,16 @@
     }
     const bool down = IsPlatformDown(aPorts.self_) || text_.empty();
     ItemsRead read{ .result_ = down ? ReadResult::Failed : ReadResult::Complete,
-                    .revision_ = revision_ };
+                    .revision_ = revision_,
+                    .era_ = era_ };
     if (aWithItems) {
       read.items_.push_back({ std::string(JsonItemDecoder::kDocumentKey), text_ });
       read.items_.push_back({ std::string(JsonItemDecoder::kVmListKey), vms_ });
     }
+    if (earlierNodes_.contains(aPorts.self_) && !down) {
+      read = AsReadByEarlierRelease(aPorts.self_, std::move(read));
+    }
+    highestRead_[aPorts.self_] = std::max(highestRead_[aPorts.self_], down ? 0 : read.revision_);
     DeliverToIncarnation(aPorts, [read](auto& aNode) { aNode.OnItemsRead(read); });
   });
 }
