Watch beside watchers of an earlier release

If all watchers are of an earlier release, no node of the new one noticed that the platform had come back from an older copy: earlier watchers ignore the lower revision, and the ages that they report kept the backup watchers of the new release from reading. New nodes took no changes until the revision had passed its old value.

Only reads of nodes that would notice a restore now count for the takeover by backup watchers, and a backup watcher whose answer suggests a restore goes on with the listing. A backup watcher reads once in 5 s, so the first changes after a restore can take that long; the later ones keep the bound.

--- a/include/geraniumpin/process/gossip_service.hpp
+++ b/include/geraniumpin/process/gossip_service.hpp
@@ -68,7 +68,7 @@
       externalContact_ = externalContact_.AfterReportedAge(aHeartbeat.externalAge_, context_.Now());
     }
     if (aHeartbeat.platformAge_ > Duration{}) {
-      reader_.OnReportedAge(aHeartbeat.platformAge_);
+      reader_.OnReportedAge(aHeartbeat.platformAge_, !IsOfEarlierRelease(aEnvelope.senderVersion_));
     }
     if (aHeartbeat.wantsReply_) {
       context_.Send(aEnvelope.sender_, MakeHeartbeat(false));
@@ -148,7 +148,7 @@
   {
     return { .wantsReply_ = aWantsReply,
              .events_ = context_.GetMembership().NextGossipEvents(),
-             .platformAge_ = reader_.PlatformAge() + std::chrono::milliseconds(1),
+             .platformAge_ = reader_.FollowedAge() + std::chrono::milliseconds(1),
              .externalAge_ = externalContact_.Age(context_.Now()) + std::chrono::milliseconds(1) };
   }
 
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -49,6 +49,7 @@
     , log_(aContext)
     , content_(aContext, aConfig)
     , lastContact_(aContext.Now())
+    , followedContact_(aContext.Now())
     , timing_(ReaderTiming::Make(aContext.NodeSettings().ApplyBound(),
                                  aContext.NodeSettings().ContactBound()))
     , lastAnswerAt_(aContext.Now())
@@ -94,8 +95,13 @@
   }
 
   /// \brief Applies the age of the last contact with the platform that a peer reported.
-  void OnReportedAge(Duration aAge)
+  /// \param aFollowsRestores Whether that contact would have shown that the platform came back from
+  /// an older copy; nodes of earlier releases do not notice it.
+  void OnReportedAge(Duration aAge, bool aFollowsRestores = true)
   {
+    if (aFollowsRestores) {
+      followedContact_ = followedContact_.AfterReportedAge(aAge, context_.Now());
+    }
     longestGap_ = std::max(longestGap_, lastContact_.Age(context_.Now()));
     lastContact_ = lastContact_.AfterReportedAge(aAge, context_.Now());
   }
@@ -142,6 +148,8 @@
     return release ? std::min(next, *release) : next;
   }
   [[nodiscard]] Duration PlatformAge() const { return lastContact_.Age(context_.Now()); }
+  /// \brief The same, of nodes that notice when the platform is restored.
+  [[nodiscard]] Duration FollowedAge() const { return followedContact_.Age(context_.Now()); }
   [[nodiscard]] ReadState GetReadState() const
   {
     return { .platformAge_ = PlatformAge(),
@@ -207,6 +215,7 @@
     failing_ = false;
     lastAnswerAt_ = now;
     lastContact_ = lastContact_.AfterContact(now);
+    followedContact_ = followedContact_.AfterContact(now);
     nextRead_ = now + timing_.readInterval_;
   }
 
@@ -217,6 +226,7 @@
       // The answer is no page of a listing that began before it.
       BeginListing(isRestored ? ItemOrigin::Copy : ItemOrigin::Listing);
       nextRead_ = context_.Now() + DrawStartJitter();
+      isReadRequested_ = true; // the answer may have ended the turn of a backup watcher
       return;
     }
     if (isRestored) {
@@ -328,8 +338,8 @@
 
   [[nodiscard]] bool ShouldWatch(TimePoint aNow) const
   {
-    return ShouldWatchPlatform(
-      { .watcherRank_ = context_.ComputeWatcherRank(), .platformAge_ = lastContact_.Age(aNow) });
+    return ShouldWatchPlatform({ .watcherRank_ = context_.ComputeWatcherRank(),
+                                 .platformAge_ = followedContact_.Age(aNow) });
   }
 
   void OnReadFailed(std::string_view aDetail)
@@ -356,6 +366,7 @@
   ReadLog<PortSet> log_;
   PlatformContent<PortSet> content_;
   LastContact lastContact_;
+  LastContact followedContact_; ///< by a node that notices when the platform is restored
   ReaderTiming timing_;
   TimePoint lastAnswerAt_;
   Backoff backoff_;
--- a/include/geraniumpin/version/version_id.hpp
+++ b/include/geraniumpin/version/version_id.hpp
@@ -47,6 +47,14 @@
   return aId.number_.revision_ != 0;
 }
 
+/// \brief Returns true if a node of an earlier release states the version: it does not know the
+/// document.
+[[nodiscard]] constexpr bool
+IsOfEarlierRelease(const VersionId& aId) noexcept
+{
+  return IsConfiguration(aId) && aId.number_.document_ == 0;
+}
+
 /// \brief Returns true if a node that runs a version is to replace it by the offered one.
 ///
 /// Nodes of earlier releases state neither document nor era and compare revisions alone. What such
--- a/tests/process/mixed_releases_test.cpp
+++ b/tests/process/mixed_releases_test.cpp
@@ -204,6 +204,31 @@
   }
 }
 
+// No node that notices a restore watched the platform before it.
+BOOST_AUTO_TEST_CASE(new_nodes_notice_a_restore_that_only_earlier_watchers_could_see)
+{
+  for (const bool stated : { true, false }) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      BOOST_TEST_CONTEXT("seed " << seed << ", era stated " << stated)
+      {
+        MixedMesh mixed(seed, stated ? std::optional<std::uint64_t>(0) : std::nullopt);
+        mixed.Publish(50, 5);
+        mixed.mesh_.Run(kBound);
+        SetEarlier(mixed, Earlier::Watchers);
+        mixed.mesh_.Run(std::chrono::seconds(10));
+        mixed.mesh_.era_ = stated ? std::optional<std::uint64_t>(1) : std::nullopt;
+        mixed.Publish(40, 5);
+        mixed.mesh_.Run(kWatchTakeoverDelay + kBound); // the next read of a backup watcher
+        for (std::uint64_t document = 6; document <= 9; ++document) {
+          mixed.Publish(35 + document, document);
+          mixed.mesh_.Run(kBound);
+          mixed.ExpectDocument(mixed.NodesOf(false), document);
+        }
+      }
+    }
+  }
+}
+
 // Load pattern "release": offers that cannot be ordered last until the revision has passed its old
 // value.
 BOOST_AUTO_TEST_CASE(each_new_node_reads_at_most_once_a_second)
