--- a/include/geraniumpin/process/platform_contact.hpp
+++ b/include/geraniumpin/process/platform_contact.hpp
@@ -18,6 +18,7 @@
 
   explicit PlatformContact(TimePoint aStart) noexcept
     : any_(aStart)
+    , followed_(aStart)
     , ownAt_(aStart)
   {
   }
@@ -36,11 +37,16 @@
   {
     ownAt_ = aNow;
     any_ = any_.AfterContact(aNow);
+    followed_ = followed_.AfterContact(aNow);
   }
 
   /// \brief Records the age of the last answer that a peer reported.
-  void OnReportedAge(Duration aAge, TimePoint aNow) noexcept
+  /// \param aFollowsRestores Whether the peer notices when the platform is restored.
+  void OnReportedAge(Duration aAge, bool aFollowsRestores, TimePoint aNow) noexcept
   {
+    if (aFollowsRestores) {
+      followed_ = followed_.AfterReportedAge(aAge, aNow);
+    }
     longestGap_ = std::max(longestGap_, any_.Age(aNow));
     any_ = any_.AfterReportedAge(aAge, aNow);
   }
@@ -60,11 +66,14 @@
   [[nodiscard]] TimePoint SentAt() const noexcept { return sentAt_; }
   /// \brief Returns the time since the last answer to any node that is known.
   [[nodiscard]] Duration Age(TimePoint aNow) const noexcept { return any_.Age(aNow); }
+  /// \brief The same, without answers to nodes that do not notice when the platform is restored.
+  [[nodiscard]] Duration FollowedAge(TimePoint aNow) const noexcept { return followed_.Age(aNow); }
   /// \brief Returns the time since the last answer to this node.
   [[nodiscard]] Duration OwnAge(TimePoint aNow) const noexcept { return aNow - ownAt_; }
 
 private:
   LastContact any_;
+  LastContact followed_; ///< by a node that notices when the platform is restored
   TimePoint ownAt_;
   TimePoint sentAt_;
   Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -32,7 +32,7 @@
   /// Delay of the first read of a node with seeds, in which its peers can deliver a version.
   static constexpr std::chrono::milliseconds kSeededStartDelay{ 600 };
   /// Range of the random delay that spreads the first reads of nodes that start together.
-  static constexpr std::chrono::milliseconds kStartJitter{ 300 };
+  static constexpr auto kStartJitter = ReaderTiming::kStartJitter;
   static constexpr std::chrono::milliseconds kFirstBackoff{ 200 };
   /// Longest pause after failures of a backup watcher, so that during an outage not all nodes read
   /// the platform.
@@ -92,7 +92,12 @@
   }
 
   /// \brief Applies the age of the last contact with the platform that a peer reported.
-  void OnReportedAge(Duration aAge) { contact_.OnReportedAge(aAge, context_.Now()); }
+  /// \param aFollowsRestores Whether that contact would have shown that the platform came back from
+  /// an older copy; nodes of earlier releases do not notice it.
+  void OnReportedAge(Duration aAge, bool aFollowsRestores = true)
+  {
+    contact_.OnReportedAge(aAge, aFollowsRestores, context_.Now());
+  }
 
   void OnTimer()
   {
@@ -110,15 +115,24 @@
     }
     if (!readDeadline_ && now >= nextRead_) {
       nextRead_ = now + kWatchCheckPeriod;
-      if (ShouldWatch(now) || std::exchange(isReadRequested_, false)) {
+      if (ShouldWatch(now) || isReadRequested_) {
         Read(now);
       }
     }
   }
 
   /// \brief Makes this node read the platform once, also if it does not watch it: it cannot tell by
-  /// its peers what is in force.
-  void RequestRead() noexcept { isReadRequested_ = true; }
+  /// its peers what is in force. The read goes on until it is complete.
+  ///
+  /// It does not wait for the pause after failures once other nodes have had answers.
+  void RequestRead()
+  {
+    isReadRequested_ = true;
+    if (failing_ && PlatformAge() < PlatformContact::kExpiryOutage) {
+      nextRead_ =
+        std::min(nextRead_, std::max(context_.Now(), contact_.SentAt() + timing_.readInterval_));
+    }
+  }
 
   [[nodiscard]] TimePoint NextDeadline() const noexcept
   {
@@ -127,6 +141,8 @@
     return release ? std::min(next, *release) : next;
   }
   [[nodiscard]] Duration PlatformAge() const { return contact_.Age(context_.Now()); }
+  /// \brief The same, of nodes that notice when the platform is restored.
+  [[nodiscard]] Duration FollowedAge() const { return contact_.FollowedAge(context_.Now()); }
   [[nodiscard]] ReadState GetReadState() const
   {
     return { .platformAge_ = PlatformAge(),
@@ -225,6 +241,7 @@
       const bool isCopy = isRestored || (listing_ && listing_->Origin() == ItemOrigin::Copy);
       BeginListing(isCopy ? ItemOrigin::Copy : ItemOrigin::Listing);
       nextRead_ = context_.Now() + DrawStartJitter();
+      isReadRequested_ = true; // the answer may have ended the turn of a backup watcher
       return;
     }
     if (isRestored) {
@@ -236,6 +253,7 @@
       ApplyChanges(aRead);
     }
     if (!listing_) { // a page of a listing that may fail is no success yet
+      isReadRequested_ = false;
       backoff_ = backoff_.AfterSuccess();
       backupBackoff_ = backupBackoff_.AfterSuccess();
     }
@@ -325,8 +343,8 @@
 
   [[nodiscard]] bool ShouldWatch(TimePoint aNow) const
   {
-    return ShouldWatchPlatform(
-      { .watcherRank_ = context_.ComputeWatcherRank(), .platformAge_ = contact_.Age(aNow) });
+    return ShouldWatchPlatform({ .watcherRank_ = context_.ComputeWatcherRank(),
+                                 .platformAge_ = contact_.FollowedAge(aNow) });
   }
 
   void OnReadFailed(std::string_view aDetail)
