--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -1,6 +1,6 @@
 -- Library of the scenarios: a mesh of real processes on loopback.
 
-local Mesh = {}
+Mesh = {}
 Mesh.__index = Mesh
 
 -- Fails the scenario with the message unless the condition holds.
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -249,8 +249,8 @@
   return 1;
 }
 
-/// http{method=, address=, path=, headers={}, body=} returns {status, body, headers}; the status is
-/// 0 if no complete response came.
+/// http{method=, address=, host=, path=, headers={}, body=} returns {status, body, headers}; the
+/// status is 0 if no complete response came. Without a host, the address is sent.
 int
 LuaHttp(lua_State* aLua)
 {
@@ -261,6 +261,7 @@
     headers.push_back({ name, value.get<std::string>() });
   }
   const HttpRequest request{ .method_ = arguments.value("method", "GET"),
+                             .host_ = arguments.value("host", ""),
                              .path_ = arguments.value("path", "/"),
                              .headers_ = headers,
                              .body_ = MakeBody(arguments.value("body", "")) };
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -5,7 +5,8 @@
 /// use, or if its deadline has passed. The server records each run; tests read the record and
 /// change the server's behaviour under /control. With --log-runs it also prints each run at once,
 /// so that the record outlives the process. GET /health returns the text that a test has set,
-/// whether or not it is true.
+/// whether or not it is true. To the users' interface it states its name as the id of the instance,
+/// and answers 421 to a request for another instance.
 
 #include "../../src/adapters/connection/http_server.hpp"
 #include "../../src/adapters/process/line_log.hpp"
@@ -26,6 +27,8 @@
 constexpr double kColdCapacityRatio = 0.25; // capacity of a cold server, relative to its slots
 constexpr double kShedRatio = 2;            // running requests per capacity, above which it refuses
 constexpr std::string_view kRequestId = "geraniumpin-request-id";
+constexpr std::string_view kInstanceId = "geraniumpin-instance-id";
+constexpr std::string_view kExpectedInstance = "geraniumpin-expected-instance";
 
 struct Options
 {
@@ -82,13 +85,23 @@
       return;
     }
     if (path == "/health") {
-      server_.Respond(aId, { .status_ = 200, .headers_ = {}, .body_ = MakeBody(health_) });
+      server_.Respond(aId,
+                      { .status_ = 200,
+                        .headers_ = { { std::string(kInstanceId), options_.name_ } },
+                        .body_ = MakeBody(health_) });
+      return;
+    }
+    const auto expected = FindHeader(aRequest.headers_, kExpectedInstance);
+    if (!expected.empty() && expected != options_.name_) {
+      HeaderFields headers{ { std::string(kInstanceId), options_.name_ } };
+      AddRequestId(headers, aRequest);
+      server_.Respond(aId, { .status_ = 421, .headers_ = std::move(headers), .body_ = {} });
       return;
     }
     const auto running = static_cast<double>(running_.size()) + 1;
     if (ShouldRefuse(running, aRequest)) {
       ++shed_;
-      HeaderFields headers{ { "not-started", "true" } };
+      HeaderFields headers{ { "not-started", "true" }, { "geraniumpin-not-executed", "1" } };
       AddRequestId(headers, aRequest);
       server_.Respond(aId, { .status_ = 503, .headers_ = std::move(headers), .body_ = {} });
       return;
