Scenario of restores: the lost document follows the other lost changes

Cause: the document was written before the other changes that the copy lacks, and versions are numbered by the last change of their content, so the code before the fix passed one round of two. Change: the document is the last of the lost changes.

--- a/tests/scenarios/scenario_store_restore.lua
+++ b/tests/scenarios/scenario_store_restore.lua
@@ -114,13 +114,13 @@
 
   -- What the copy does not have.
   local copy_ms = now_ms()
+  for i = 1, 80 do
+    mesh:put("other/" .. i, "{}")
+  end
   mesh.routes[new], mesh.routes[old] = "service-b", nil
   mesh.keys["key-old-" .. round] = nil
   watch:confirm(name .. ": the changes to be lost", mesh:publish_config(), new, old,
                 "key-old-" .. round)
-  for i = 1, 80 do
-    mesh:put("other/" .. i, "{}")
-  end
   local drains_first = round % 2 == 0 and mesh.vms[2] or nil
   if drains_first then
     watch:drain(drains_first)
