--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -236,6 +236,12 @@
              .saturation_ = saturation_.Level(context_.Now()) };
   }
 
+  /// \brief Returns the configuration in force; null before the first one.
+  [[nodiscard]] const SharedSnapshot& Configuration() const noexcept
+  {
+    return context_.Versions().Current();
+  }
+
   [[nodiscard]] const Metrics& GetMetrics() const noexcept { return context_.GetMetrics(); }
 
   /// \brief Explains how a request would be routed, without sending it.
--- a/tests/support/documents.hpp
+++ b/tests/support/documents.hpp
@@ -15,6 +15,15 @@
                              ".1:7000");
 }
 
+/// \brief Returns the failure domain of a node of NodeAt.
+inline std::string
+DomainOf(const NodeAddress& aNode)
+{
+  const auto ip = aNode.Ip();
+  const auto begin = ip.find('.') + 1;
+  return "zone-" + ip.substr(begin, ip.find('.', begin) - begin);
+}
+
 /// \brief Parameters of MakeDocument.
 struct DocumentOptions
 {
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -9,6 +9,7 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <sstream>
 
 namespace geraniumpin::test {
 
@@ -43,6 +44,51 @@
 
 class FakeMesh;
 
+/// \brief Decodes the keys "instance/ADDRESS" to an instance of the service "orders" at a node,
+/// whose text is the state and the start, and "out/NAME" to that failure domain out of service;
+/// other items as JsonItemDecoder does.
+struct MeshItemDecoder
+{
+  static constexpr std::string_view kInstancePrefix = "instance/";
+  static constexpr std::string_view kOutOfServicePrefix = "out/";
+
+  [[nodiscard]] tl::expected<std::optional<DecodedItem>, Faults> Decode(
+    std::string_view aKey,
+    std::string_view aText) const
+  {
+    if (aKey.starts_with(kOutOfServicePrefix)) {
+      return std::optional<DecodedItem>(
+        DomainOutOfService{ std::string(aKey.substr(kOutOfServicePrefix.size())) });
+    }
+    if (!aKey.starts_with(kInstancePrefix)) {
+      return JsonItemDecoder{}.Decode(aKey, aText);
+    }
+    const auto node = *NodeAddress::Parse(std::string(aKey.substr(kInstancePrefix.size())));
+    std::istringstream text{ std::string(aText) };
+    std::string state;
+    std::uint64_t startedAt = 0;
+    text >> state >> startedAt;
+    return std::optional<DecodedItem>(
+      PublishedInstance{ .service_ = "orders",
+                         .backendServer_ = { .name_ = node.Text(),
+                                             .failureDomain_ = DomainOf(node),
+                                             .node_ = node,
+                                             .state_ = state == "draining" ? InstanceState::Draining
+                                                                           : InstanceState::Ready,
+                                             .startedAt_ = startedAt } });
+  }
+};
+
+/// \brief A read of the platform by a node.
+struct FakeRead
+{
+  NodeAddress node_;
+  TimePoint sentAt_;
+  std::string afterKey_;                 ///< of a listing
+  std::optional<std::uint64_t> watched_; ///< the revision of a watch
+  TimePoint waitsUntil_;                 ///< of a watch
+};
+
 /// \brief Implements all ports of one fake node.
 struct FakePorts
 {
@@ -54,6 +100,8 @@
   void ReadItems(const std::string& aAfterKey);
   void WatchItems(std::uint64_t aRevision, Duration aWait);
   void CancelRead();
+  /// Requests the answer of FakeMesh::answerRead_ until there is one.
+  void Ask(const FakeRead& aQuestion, std::uint64_t aRead);
 
   FakeMesh& mesh_;
   NodeAddress self_;
@@ -69,7 +117,7 @@
                                 FakePorts,
                                 FakePorts,
                                 JsonPartCodec,
-                                JsonItemDecoder>;
+                                MeshItemDecoder>;
 
 /// \brief A node that runs on fake ports.
 struct FakeNode
@@ -183,6 +231,7 @@
       event();
     }
   }
+  [[nodiscard]] bool IsRunning(const NodeAddress& aNode) const { return nodes_.contains(aNode); }
   [[nodiscard]] Node<FakeNodePorts>& At(const NodeAddress& aNode)
   {
     return *nodes_.at(aNode)->node_;
@@ -237,6 +286,9 @@
         action();
       }
       RunTimers();
+      if (afterTurn_) {
+        afterTurn_();
+      }
     }
     clock_.Set(end);
     RunTimers();
@@ -271,6 +323,9 @@
   /// Makes the response to a read of all items after a key, in place of the published items; may be
   /// empty.
   std::function<ItemsRead(const std::string&)> makePage_;
+  /// Answers a read in place of the published items, or nothing as long as it waits; may be empty.
+  std::function<std::optional<ItemsRead>(const FakeRead&)> answerRead_;
+  std::function<void()> afterTurn_; ///< called after events and timers ran; may be empty
   Duration serviceTime_ = milliseconds(5);
   /// Service time of a request at the backend server of a node; serviceTime_ if empty.
   std::function<Duration(const NodeAddress&)> getServiceTime_;
@@ -399,7 +454,7 @@
   std::uint64_t revision_ = 0;
   std::set<AttemptId> cancelled_;
   const JsonPartCodec codec_{};
-  const JsonItemDecoder decoder_{};
+  const MeshItemDecoder decoder_{};
 };
 
 inline void
@@ -451,9 +506,33 @@
   mesh_.answers_.emplace(aId, aAnswer);
 }
 
+inline void
+FakePorts::Ask(const FakeRead& aQuestion, std::uint64_t aRead)
+{
+  constexpr milliseconds kPollPeriod{ 20 };
+  if (aRead != read_) {
+    return;
+  }
+  if (const auto answer = mesh_.answerRead_(aQuestion)) {
+    mesh_.At(mesh_.DrawDelay(), [this, answer = *answer, aRead] {
+      if (aRead == read_) {
+        mesh_.DeliverToIncarnation(*this, [answer](auto& aNode) { aNode.OnItemsRead(answer); });
+      }
+    });
+    return;
+  }
+  mesh_.At(kPollPeriod, [this, aQuestion, aRead] { Ask(aQuestion, aRead); });
+}
+
 inline void
 FakePorts::ReadItems(const std::string& aAfterKey)
 {
+  if (mesh_.answerRead_) {
+    ++mesh_.platformReads_[self_];
+    const auto now = mesh_.clock_.Now();
+    Ask({ self_, now, aAfterKey, std::nullopt, now }, ++read_);
+    return;
+  }
   if (!mesh_.makePage_) {
     mesh_.AnswerRead(*this, ++read_, true);
     return;
@@ -470,8 +549,14 @@
 /// A watch completes at once if the revision differs, otherwise after 100 ms, then with items only
 /// if the revision has changed.
 inline void
-FakePorts::WatchItems(std::uint64_t aRevision, Duration /*aWait*/)
+FakePorts::WatchItems(std::uint64_t aRevision, Duration aWait)
 {
+  if (mesh_.answerRead_) {
+    ++mesh_.platformReads_[self_];
+    const auto now = mesh_.clock_.Now();
+    Ask({ self_, now, {}, aRevision, now + aWait }, ++read_);
+    return;
+  }
   const bool isNew = aRevision != mesh_.revision_;
   mesh_.At(isNew ? milliseconds(0) : milliseconds(100), [this, aRevision, read = ++read_] {
     mesh_.AnswerRead(*this, read, aRevision != mesh_.revision_);
