Compare a copy with the running version where it is later than the items of this node

A node that had not read the store for a while took its own older items for what was in force, and made a server ready again that had left or drained by the version of its peers.

--- a/src/process/platform_items.cpp
+++ b/src/process/platform_items.cpp
@@ -19,6 +19,16 @@
   return std::string(kInForcePrefix) + "instance " + aId;
 }
 
+/// Returns true if the first state of an instance follows the second one. An instance that drains
+/// does not accept requests again before its next start.
+bool
+IsLater(const BackendServer& aFirst, const BackendServer& aSecond)
+{
+  return aFirst.startedAt_ > aSecond.startedAt_ ||
+         (aFirst.startedAt_ == aSecond.startedAt_ && aFirst.state_ == InstanceState::Draining &&
+          aSecond.state_ == InstanceState::Ready);
+}
+
 std::uint64_t
 NumberOf(const DecodedItem& aDocument)
 {
@@ -39,8 +49,17 @@
     unlisted_.emplace(instance.backendServer_.name_, instance);
   }
   for (const auto& key : assembly_.Keys()) {
-    if (const auto* known = std::get_if<PublishedInstance>(assembly_.Find(key))) {
-      unlisted_.erase(known->backendServer_.name_);
+    const auto* known = std::get_if<PublishedInstance>(assembly_.Find(key));
+    if (known == nullptr) {
+      continue;
+    }
+    // The version of a peer can be later than the items that this node has read.
+    const auto inForce = unlisted_.extract(known->backendServer_.name_);
+    if (inForce.empty()) {
+      Erase(key);
+    } else if (IsLater(inForce.mapped().backendServer_, known->backendServer_)) {
+      Erase(key);
+      assembly_.Put(key, inForce.mapped());
     }
   }
 }
@@ -104,13 +123,7 @@
                              const BackendServer& aListed) const
 {
   if (aInForce != nullptr) {
-    const auto& known = aInForce->backendServer_;
-    const bool isEarlierStart = aListed.startedAt_ < known.startedAt_;
-    // An instance that drains does not accept requests again before its next start.
-    const bool undoesDraining = aListed.startedAt_ == known.startedAt_ &&
-                                known.state_ == InstanceState::Draining &&
-                                aListed.state_ == InstanceState::Ready;
-    return isEarlierStart || undoesDraining ? Duration(kOutdatedGrace) : Duration{};
+    return IsLater(aInForce->backendServer_, aListed) ? Duration(kOutdatedGrace) : Duration{};
   }
   const auto removal = removals_.find(aKey);
   if (removal != removals_.end() && aListed.startedAt_ <= removal->second.startedAt_) {
