Probe at the usual pace while the own failure domain has no nodes

A node whose version had no instance in its failure domain ran its timers without a pause: the time of the next probe never advanced. Found by store_restore_model_test, which stopped with "a timer that is due again at once" in 2 of its 4 cases; it runs all of them now. The directed case in membership_test passes.

--- a/include/geraniumpin/process/membership.hpp
+++ b/include/geraniumpin/process/membership.hpp
@@ -120,10 +120,13 @@
 std::optional<NodeAddress>
 Membership::NextProbe(const std::vector<NodeAddress>& aNodes, TimePoint aNow, R& aRandom)
 {
-  if (aNow < nextProbe_ || aNodes.empty()) {
+  if (aNow < nextProbe_) {
     return std::nullopt;
   }
   nextProbe_ = aNow + kProbePeriod;
+  if (aNodes.empty()) {
+    return std::nullopt;
+  }
   const auto& node = aNodes[DrawIndex(aRandom, aNodes.size())];
   if (node == self_) {
     return std::nullopt;
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -31,6 +31,15 @@
 
 } // namespace
 
+// A node whose failure domain had no instance ran its timers without a pause.
+BOOST_AUTO_TEST_CASE(a_failure_domain_without_nodes_is_probed_at_the_usual_pace)
+{
+  Membership members(NodeAt(1, 1), "zone-1", 1);
+  std::mt19937_64 random(1);
+  BOOST_TEST(!members.NextProbe({}, kStart, random));
+  BOOST_TEST((members.NextDeadline() > kStart));
+}
+
 BOOST_AUTO_TEST_CASE(a_member_without_probe_answers_is_suspected_until_its_next_message)
 {
   Membership members(NodeAt(1, 1), "zone-1", 1);
