--- a/include/geraniumpin/process/platform_content.hpp
+++ b/include/geraniumpin/process/platform_content.hpp
@@ -76,7 +76,7 @@
     encoder_.Update(assembly, context_.Ports().codec_);
     const auto& running = context_.Versions().Current();
     const auto number = MakeNumber(aPosition);
-    const bool settles = runningId.number_.interim_ != 0 && number.interim_ == 0;
+    const bool settles = !runningId.number_.IsExact() && number.IsExact();
     if (running && running->GetManifest().parts_ == encoder_.Digests() &&
         runningId.number_.era_ == aPosition.era_ && !settles) {
       return;
@@ -106,8 +106,9 @@
     const auto& running = context_.Versions().CurrentId().number_;
     auto base = running;
     base.interim_ = number.interim_;
-    if (base == number && running.interim_ >= number.interim_) {
-      number.interim_ = running.interim_ + 1; // a further content between the same two revisions
+    if (base == number && running.interim_ >= number.interim_ &&
+        running.interim_ != VersionNumber::kSettled) {
+      number.interim_ = isBefore ? running.interim_ + 1 : VersionNumber::kSettled;
     }
     return number;
   }
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -294,7 +294,7 @@
   void BeginCopyIfRestored()
   {
     const auto& running = context_.Versions().Current();
-    if (revision_ == 0 && running && running->Id().number_.interim_) {
+    if (revision_ == 0 && running && !running->Id().number_.IsExact()) {
       listing_->MarkAsCopy();
     }
     if (listing_->Origin() == ItemOrigin::Copy) {
