Soak: the platform comes back from an older copy

Cause: no scenario on real processes had a store whose revisions go back, so the fault of the record was found by users only. Change: the fake platform counts its revisions by itself, keeps copies of its content and goes back to one (/control/restore), with an era if it was started with one; a watch from a revision that it does not have gets 410. The soak draws a restore, after which the operators write their newest document again. Documents must not go back at a living node, and what was written after the restore is in force within 2000 ms; a write that a restore follows is checked by its repetition instead.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -21,8 +21,21 @@
   { "evacuate", 1 },
   { "kill", 2 }, { "pause", 2 }, { "cut", 1 }, { "reset", 1 }, { "delay", 1 }, { "platform", 2 },
   { "hang", 3 }, { "slow", 2 }, { "refuse", 2 }, { "kill_backend", 1 }, { "pause_backend", 2 },
+  { "restore", 1 },
 }
 
+-- Returns the weights, without restores of the platform for seeds whose schedule is to stay as it was
+-- before there were any. without: set of these seeds
+local function choose_weights(weights, without)
+  local chosen = {}
+  for _, entry in ipairs(weights) do
+    if entry[1] ~= "restore" or not (without or {})[SEED] then
+      table.insert(chosen, entry)
+    end
+  end
+  return chosen
+end
+
 local function draw_kind(weights)
   local total = 0
   for _, entry in ipairs(weights) do
@@ -37,16 +50,19 @@
   end
 end
 
--- options: steps, vms (of each failure domain), weights (of the faults, by default WEIGHTS)
+-- options: steps, vms (of each failure domain), weights (of the faults, by default WEIGHTS),
+-- without_restore (set of the seeds without restores of the platform)
 function new_soak(mesh, options)
   math.randomseed(SEED)
   local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, stops = {},
-                              evacuated = {}, highest = {}, failures = {} }, Soak)
+                              evacuated = {}, highest = {}, failures = {}, away = 0,
+                              began_at = now_ms() }, Soak)
+  local weights = choose_weights(options.weights or WEIGHTS, options.without_restore)
   local at = 2000
   for _ = 1, options.steps do
     at = at + math.random(100, 1100)
     table.insert(soak.plan, {
-      at = at, kind = draw_kind(options.weights or WEIGHTS), domain = math.random(1, 3), index = math.random(2, options.vms),
+      at = at, kind = draw_kind(weights), domain = math.random(1, 3), index = math.random(2, options.vms),
       other_domain = math.random(1, 3), duration = math.random(300, 4000),
       restart_ms = math.random(0, 1500), number = math.random(1, 1000000),
     })
@@ -253,7 +269,10 @@
   soak.mesh:control("mode?mode=" .. mode)
   soak:after(step.duration, function()
     if soak.platform_step == step then
-      soak.mesh:control("mode?mode=up")
+      soak.platform_step, soak.platform_ended_at = nil, now_ms()
+      if soak.away == 0 then
+        soak.mesh:control("mode?mode=up")
+      end
     end
   end)
   return mode
@@ -277,23 +296,72 @@
   soak.silent_since = now_ms()
   soak.mesh:control("mode?mode=silent")
   soak:after(500 + 2 * step.duration, function()
-    soak.mesh:control("mode?mode=up")
+    if soak.away == 0 then
+      soak.mesh:control("mode?mode=up")
+    end
     soak.silent_since, soak.silence_ended_at = nil, now_ms()
-    for i = 0, step.number % 6 do
-      soak:after(i * 260, function()
-        soak:publish(step.number % 100 + i)
-        local version, published_at = soak.mesh.version, now_ms()
-        soak:after(APPLY_BOUND_MS, function() soak:check_applied(version, published_at) end)
-      end)
+    soak:publish_storm(step.number % 6, step.number % 100)
+  end)
+end
+
+-- Publishes versions shortly after each other, and checks that they come into force.
+function Soak:publish_storm(last, timeout_extra_ms)
+  for i = 0, last do
+    self:after(i * 260, function()
+      self:publish(timeout_extra_ms + i)
+      self:expect_applied()
+    end)
+  end
+end
+
+-- Checks after the bound that the version that was just written is in force.
+function Soak:expect_applied()
+  local version, published_at = self.mesh.version, now_ms()
+  self:after(APPLY_BOUND_MS, function() self:check_applied(version, published_at) end)
+end
+
+-- The platform is away, then comes back from an older copy. The operators write their newest document
+-- again, then new versions.
+function faults.restore(soak, step)
+  local number = step.number
+  local away_ms, rewrite_ms = 200 + number % 1301, 200 + number // 11 % 1801
+  local age_ms, loses_reads = 500 + number // 7 % 7501, number // 13 % 2 == 0
+  soak.away = soak.away + 1
+  soak.mesh:control("mode?mode=" .. (loses_reads and "silent" or "down"))
+  soak:after(away_ms, function()
+    -- A copy from before the first document would be no mesh.
+    age_ms = math.min(age_ms, now_ms() - soak.began_at)
+    local revision = soak.mesh:control(
+      "restore?ms=" .. age_ms .. "&reads=" .. (loses_reads and "lost" or "failed")).body
+    if loses_reads then
+      soak.mesh:reset_connections("", "127." .. soak.mesh.base .. ".1.")
     end
+    soak.away, soak.restored_at = soak.away - 1, now_ms()
+    soak.mesh:control("mode?mode=" .. ((soak.silent_since or soak.away > 0) and "silent" or "up"))
+    print(now_ms() .. " restored a copy of " .. age_ms .. " ms, revision " .. revision)
+    for i = 1, 5 do
+      soak:after(i * 200, function() soak:check_versions() end)
+    end
+    soak:after(rewrite_ms, function()
+      soak.mesh:publish(soak.mesh.document, soak.mesh.version)
+      soak:expect_applied()
+      print(now_ms() .. " wrote version " .. soak.mesh.version .. " again")
+      soak:after(100 + number % 700, function() soak:publish_storm(number % 4, number % 100) end)
+    end)
   end)
+  return "away " .. away_ms .. ", " .. (loses_reads and "loses" or "fails") .. " reads"
 end
 
--- Each node that was without fault runs the version, unless the platform was silent since.
+-- Each node that was without fault runs the version, unless the platform had a fault since or came back
+-- from a copy; the operators' next write has its own check.
 function Soak:check_applied(version, published_at)
-  if self.silent_since or (self.silence_ended_at or 0) > published_at then
+  local has_fault = self.silent_since or self.platform_step or self.away > 0
+  local ended_at = math.max(self.silence_ended_at or 0, self.platform_ended_at or 0,
+                            self.restored_at or 0)
+  if has_fault or ended_at > published_at then
     return
   end
+  self.checks = (self.checks or 0) + 1
   for _, vm in ipairs(self.mesh.vms) do
     local settled = (vm.started_at or 0) < published_at - CONTACT_MS
     local calm = vm.state == "up" and (vm.paused or 0) == 0 and settled and
@@ -391,7 +459,8 @@
     if status then
       local lifetime = vm.name .. "/" .. math.tointeger(status.incarnation)
       if status.version < (self.highest[lifetime] or 0) then
-        self:fail(vm.name .. " went back to version " .. status.version)
+        self:fail(vm.name .. " went back to version " .. status.version .. " from " ..
+                  self.highest[lifetime])
       end
       self.highest[lifetime] = math.max(status.version, self.highest[lifetime] or 0)
     end
@@ -511,6 +580,8 @@
 function Soak:check_recovery()
   self.mesh:control("mode?mode=up")
   self:publish()
+  print("versions that had to be in force within " .. APPLY_BOUND_MS .. " ms: " ..
+        (self.checks or 0))
   print("after the faults the last version is in force after " ..
         self.mesh:wait_version(self.mesh.version, 10000) .. " ms")
   self.mesh:wait_serving(15000)
@@ -542,15 +613,18 @@
 local TIMEOUTS = { { 4000, 5000 }, { 2000, 10000 }, { 3000, 5000 }, { 5000, 5000 } }
 
 -- Runs the schedule of the seed on a mesh under load and fails if a check does.
--- options: base (of the mesh), weights (of the faults, by default WEIGHTS)
+-- options: base (of the mesh), weights (of the faults, by default WEIGHTS), without_restore (set of the
+-- seeds without restores of the platform)
 function run_soak(options)
   local timeout_ms, drain_timeout_ms = table.unpack(TIMEOUTS[(SEED - 1) % #TIMEOUTS + 1])
   local mesh = new_mesh{ base = options.base, vms = VMS, rate = 5000, burst = 5000, relays = true,
                          timeout_ms = timeout_ms, drain_timeout_ms = drain_timeout_ms,
+                         platform = SEED // 2 % 2 == 0 and { "--era", "1" } or {},
                          backend = { "--service-us", "5000", "--log-runs" } }
   mesh.options.platform_address_of = function(vm) return mesh:platform_address(vm) end
   mesh:start()
-  local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights })
+  local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights,
+                                without_restore = options.without_restore })
 
   -- The first VM of each failure domain gets no faults; its load tells whether the mesh serves.
   local entry_vms = { mesh:vm("vm-1-1"), mesh:vm("vm-2-1"), mesh:vm("vm-3-1") }
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,8 +1,8 @@
 /// \brief Fake of the platform's configuration service, which serves reads and watches.
 ///
 /// Serves GET /v1/items and /v1/watch, see JsonPlatform; tests control it under /control. The items
-/// are "document", in the format of the operators, and "vms". The revision is the version of the
-/// document.
+/// are "document", in the format of the operators, and "vms". The revision grows by one with each
+/// write of an item. /control/restore takes the platform back to an older copy of its content.
 
 #include "../../src/adapters/connection/http_server.hpp"
 #include "../../src/adapters/process/line_log.hpp"
@@ -13,6 +13,7 @@
 #include <CLI/CLI.hpp>
 #include <deque>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace {
 
@@ -22,12 +23,17 @@
 constexpr std::chrono::milliseconds kWatchTimeout{ 2000 };
 constexpr std::chrono::milliseconds kSlowDelay{ 1500 };
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
+constexpr std::size_t kMaxCopies = 1024;
 
 class FakePlatform
 {
 public:
-  FakePlatform(EventLoop& aLoop, const NodeAddress& aAddress, std::size_t aMaxReadsPerSecond)
+  FakePlatform(EventLoop& aLoop,
+               const NodeAddress& aAddress,
+               std::size_t aMaxReadsPerSecond,
+               std::optional<std::uint64_t> aEra)
     : maxReadsPerSecond_(aMaxReadsPerSecond)
+    , content_{ .era_ = aEra }
     , server_(aLoop,
               aAddress,
               kMaxBodyBytes,
@@ -54,11 +60,25 @@
   }
 
 private:
+  struct Item
+  {
+    std::string value_;
+    std::uint64_t revision_; ///< of its last write
+  };
+
   /// The items at one revision.
   struct Content
   {
+    std::optional<std::uint64_t> era_; ///< nothing: none is stated
     std::uint64_t revision_ = 0;
-    std::map<std::string, std::string> items_;
+    std::map<std::string, Item> items_;
+  };
+
+  /// The content from a time on, until that of the next copy.
+  struct Copy
+  {
+    TimePoint writtenAt_;
+    Content content_;
   };
 
   struct PendingRead
@@ -106,21 +126,26 @@
       return;
     }
     const auto& content = mode_ == "stale" ? stale_ : content_;
+    if (aRead.isWatch_ && aRead.afterRevision_ > content.revision_) {
+      Respond(aRead.id_, 410, "");
+      return;
+    }
     const bool changed = !aRead.isWatch_ || content.revision_ > aRead.afterRevision_;
     if (now < aRead.notBefore_ || (!changed && now < aRead.deadline_)) {
       pendingReads_.push_back(aRead);
       return;
     }
     json items = json::array();
-    for (const auto& [key, value] : content.items_) {
-      if (changed) {
-        items.push_back({ { "key", key }, { "value", value } });
+    for (const auto& [key, item] : content.items_) {
+      if (!aRead.isWatch_ || item.revision_ > aRead.afterRevision_) {
+        items.push_back({ { "key", key }, { "value", item.value_ } });
       }
     }
-    Respond(
-      aRead.id_,
-      200,
-      json{ { "revision", content.revision_ }, { "more", false }, { "items", items } }.dump());
+    json answer{ { "revision", content.revision_ }, { "more", false }, { "items", items } };
+    if (content.era_) {
+      answer["era"] = *content.era_;
+    }
+    Respond(aRead.id_, 200, answer.dump());
   }
 
   void RemoveRead(ExchangeId aId)
@@ -151,9 +176,13 @@
     if (aPath == "/control/document") {
       PublishDocument(aId, *aRequest.body_, QueryParameter(aRequest.path_, "break"));
     } else if (aPath == "/control/vms") {
-      content_.items_["vms"] = *aRequest.body_;
+      Write("vms", *aRequest.body_);
       Respond(aId, 200, "");
       OnTimer();
+    } else if (aPath == "/control/restore") {
+      Restore(std::chrono::milliseconds(std::stoll(QueryParameter(aRequest.path_, "ms"))),
+              QueryParameter(aRequest.path_, "reads") == "lost");
+      Respond(aId, 200, std::to_string(content_.revision_));
     } else if (aPath == "/control/mode") {
       mode_ = QueryParameter(aRequest.path_, "mode");
       stale_ = content_;
@@ -181,12 +210,50 @@
     if (!aBrokenPart.empty()) {
       document[aBrokenPart] = json::array({ { { "broken", true } } });
     }
-    content_.revision_ = encoded->manifest_.number_.revision_;
-    content_.items_["document"] = document.dump();
+    Write("document", document.dump());
     Respond(aId, 200, MakeVersionId(encoded->manifest_).digest_.Hex());
     OnTimer();
   }
 
+  void Write(const std::string& aKey, std::string aValue)
+  {
+    ++content_.revision_;
+    content_.items_.insert_or_assign(aKey, Item{ std::move(aValue), content_.revision_ });
+    AddCopy();
+  }
+
+  void AddCopy()
+  {
+    copies_.push_back({ clock_.Now(), content_ });
+    if (copies_.size() > kMaxCopies) {
+      copies_.pop_front();
+    }
+  }
+
+  /// \brief Goes back to the content of an earlier time, or to the oldest copy.
+  /// \param aLosesReads Whether pending reads get no answer; otherwise they fail.
+  void Restore(std::chrono::milliseconds aAge, bool aLosesReads)
+  {
+    for (const auto& read : std::exchange(pendingReads_, {})) {
+      if (!aLosesReads) {
+        Respond(read.id_, 503, "");
+      }
+    }
+    const auto time = clock_.Now() - aAge;
+    auto era = content_.era_;
+    for (auto copy = copies_.rbegin(); copy != copies_.rend(); ++copy) {
+      content_ = copy->content_;
+      if (copy->writtenAt_ <= time) {
+        break;
+      }
+    }
+    if (era) {
+      content_.era_ = *era + 1;
+    }
+    stale_ = content_;
+    AddCopy();
+  }
+
   void Respond(ExchangeId aId, int aStatus, const std::string& aText)
   {
     server_.Respond(aId, { .status_ = aStatus, .headers_ = {}, .body_ = MakeBody(aText) });
@@ -197,6 +264,7 @@
   std::string mode_ = "up";
   Content content_;
   Content stale_;
+  std::deque<Copy> copies_; ///< by time
   std::vector<PendingRead> pendingReads_;
   std::uint64_t calls_ = 0;
   std::uint64_t refused_ = 0;
@@ -213,14 +281,16 @@
   CLI::App app("fake platform");
   std::string listen;
   std::size_t rate = 2000;
+  std::optional<std::uint64_t> era;
   app.add_option("--listen", listen)->required();
   app.add_option("--rate", rate, "reads per second that are answered; more are refused");
+  app.add_option("--era", era, "era that answers state at first; it rises with each restore");
   CLI11_PARSE(app, aCount, aArguments);
 
   StartLogging(aArguments[0]);
   EventLoop loop;
   SignalWatch signals(loop);
-  FakePlatform platform(loop, NodeAddress::Parse(listen).value(), rate);
+  FakePlatform platform(loop, NodeAddress::Parse(listen).value(), rate, era);
   while (!signals.StopRequested()) {
     loop.RunOnce(platform.NextDeadline());
     platform.OnTimer();
