Soak: check a restore beside no other fault, and the order of era and revision

Change: an item that nodes ignore is written every 200 ms, the platform is away shortly after a version, writes begin anew after a drawn pause, and a last restore comes after all other faults. Versions of a living node do not go back in their era and revision, either.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -8,6 +8,8 @@
 local STOP_SLACK_MS = 1000  -- beyond the drain timeout
 local STOP_WORK_MS = 500    -- after its caller left, no request starts at a backend server
 
+local ITEM_PERIOD_MS = 200  -- between writes of an item that no node reads
+
 local APPLY_BOUND_MS = 2000 -- a version is in force this long after its publication
 
 local EXIT_BY_SIGTERM = 143 -- of a process that has not begun to handle signals
@@ -56,7 +58,7 @@
   math.randomseed(SEED)
   local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, stops = {},
                               evacuated = {}, highest = {}, failures = {}, away = 0,
-                              began_at = now_ms() }, Soak)
+                              began_at = now_ms(), next_item_at = 0 }, Soak)
   local weights = choose_weights(options.weights or WEIGHTS, options.without_restore)
   local at = 2000
   for _ = 1, options.steps do
@@ -68,6 +70,12 @@
     })
   end
   soak.duration_ms = at + 4000
+  -- A restore beside no other fault, so that what is written after it is always checked.
+  for _, entry in ipairs(weights) do
+    if entry[1] == "restore" then
+      soak.last_restore = { number = math.random(1, 1000000), age_ms = math.random(4000, 8000) }
+    end
+  end
   for _, vm in ipairs(mesh.vms) do
     vm.state, vm.incarnation, vm.drain_ms = "up", 1, mesh:settings(vm).drain_timeout_ms
   end
@@ -320,12 +328,30 @@
   self:after(APPLY_BOUND_MS, function() self:check_applied(version, published_at) end)
 end
 
--- The platform is away, then comes back from an older copy. The operators write their newest document
--- again, then new versions.
+-- Writes an item that is no configuration from time to time, as servers do. A copy of the platform is
+-- then behind by a number of revisions that grows with its age.
+function Soak:write_items()
+  if now_ms() < self.next_item_at then
+    return
+  end
+  self.next_item_at = now_ms() + ITEM_PERIOD_MS
+  if self.away == 0 and not self.silent_since then
+    self.mesh:control("item?key=note", "")
+  end
+end
+
+-- The platform is away shortly after a version, then comes back from an older copy. The operators write
+-- their newest document again, then new versions.
 function faults.restore(soak, step)
+  soak:publish(step.number % 100)
+  soak:after(step.number // 17 % 600, function() soak:restore_platform(step) end)
+end
+
+function Soak:restore_platform(step)
+  local soak = self
   local number = step.number
   local away_ms, rewrite_ms = 200 + number % 1301, 200 + number // 11 % 1801
-  local age_ms, loses_reads = 500 + number // 7 % 7501, number // 13 % 2 == 0
+  local age_ms, loses_reads = step.age_ms or 500 + number // 7 % 7501, number // 13 % 2 == 0
   soak.away = soak.away + 1
   soak.mesh:control("mode?mode=" .. (loses_reads and "silent" or "down"))
   soak:after(away_ms, function()
@@ -337,6 +363,7 @@
       soak.mesh:reset_connections("", "127." .. soak.mesh.base .. ".1.")
     end
     soak.away, soak.restored_at = soak.away - 1, now_ms()
+    soak.next_item_at = now_ms() + number // 19 % 4001 -- the servers back off, too
     soak.mesh:control("mode?mode=" .. ((soak.silent_since or soak.away > 0) and "silent" or "up"))
     print(now_ms() .. " restored a copy of " .. age_ms .. " ms, revision " .. revision)
     for i = 1, 5 do
@@ -349,7 +376,7 @@
       soak:after(100 + number % 700, function() soak:publish_storm(number % 4, number % 100) end)
     end)
   end)
-  return "away " .. away_ms .. ", " .. (loses_reads and "loses" or "fails") .. " reads"
+  print(now_ms() .. " away for " .. away_ms .. " ms, " .. (loses_reads and "loses" or "fails") .. " reads")
 end
 
 -- Each node that was without fault runs the version, unless the platform had a fault since or came back
@@ -452,17 +479,25 @@
   end
 end
 
--- In one lifetime of a process, its version never decreases.
+-- In one lifetime of a process, its version never decreases, nor does its era within a version, nor its
+-- revision within an era.
 function Soak:check_versions()
   for _, vm in ipairs(self.mesh.vms) do
     local status = vm.state == "up" and (vm.paused or 0) == 0 and self.mesh:status(vm)
     if status then
       local lifetime = vm.name .. "/" .. math.tointeger(status.incarnation)
-      if status.version < (self.highest[lifetime] or 0) then
-        self:fail(vm.name .. " went back to version " .. status.version .. " from " ..
-                  self.highest[lifetime])
+      local number = { status.version, status.era or 0, status.revision }
+      local highest = self.highest[lifetime] or { 0, 0, 0 }
+      for i = 1, #number do
+        if number[i] < highest[i] then
+          self:fail(vm.name .. " went back from " .. table.concat(highest, "/") .. " to version " ..
+                    table.concat(number, "/"))
+        end
+        if number[i] ~= highest[i] then
+          break
+        end
       end
-      self.highest[lifetime] = math.max(status.version, self.highest[lifetime] or 0)
+      self.highest[lifetime] = number
     end
   end
 end
@@ -493,10 +528,18 @@
     end
     return #self.queue == 0
   end
-  while not all_up() do
-    self:run_due()
-    self:watch_processes()
-    sleep_ms(TICK_MS)
+  local function run_queue()
+    while not all_up() do
+      self:run_due()
+      self:write_items()
+      self:watch_processes()
+      sleep_ms(TICK_MS)
+    end
+  end
+  run_queue()
+  if self.last_restore then
+    self:after(CONTACT_MS, function() faults.restore(self, self.last_restore) end)
+    run_queue()
   end
 end
 
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -126,15 +126,16 @@
       return;
     }
     const auto& content = mode_ == "stale" ? stale_ : content_;
-    if (aRead.isWatch_ && aRead.afterRevision_ > content.revision_) {
-      Respond(aRead.id_, 410, "");
-      return;
-    }
     const bool changed = !aRead.isWatch_ || content.revision_ > aRead.afterRevision_;
-    if (now < aRead.notBefore_ || (!changed && now < aRead.deadline_)) {
+    const bool isGone = aRead.isWatch_ && aRead.afterRevision_ > content.revision_;
+    if (now < aRead.notBefore_ || (!changed && !isGone && now < aRead.deadline_)) {
       pendingReads_.push_back(aRead);
       return;
     }
+    if (isGone) {
+      Respond(aRead.id_, 410, "");
+      return;
+    }
     json items = json::array();
     for (const auto& [key, item] : content.items_) {
       if (!aRead.isWatch_ || item.revision_ > aRead.afterRevision_) {
@@ -179,6 +180,10 @@
       Write("vms", *aRequest.body_);
       Respond(aId, 200, "");
       OnTimer();
+    } else if (aPath == "/control/item") {
+      Write(QueryParameter(aRequest.path_, "key"), *aRequest.body_);
+      Respond(aId, 200, "");
+      OnTimer();
     } else if (aPath == "/control/restore") {
       Restore(std::chrono::milliseconds(std::stoll(QueryParameter(aRequest.path_, "ms"))),
               QueryParameter(aRequest.path_, "reads") == "lost");
