--- a/tests/scenarios/scenario_soak.lua
+++ b/tests/scenarios/scenario_soak.lua
@@ -1,8 +1,9 @@
 -- Injects random faults into real processes, one after another and overlapping: planned stops,
--- reloads, new versions, kills, pauses, partitions, resets, a platform that is down, slow or stale
--- or comes back from an older copy, and backend servers that hang, refuse, slow down or stop. Checks what callers on kept connections
--- and backend servers saw. The seed determines the schedule: scenario-runner --seed N. SOAK_STEPS is
--- the number of faults, SOAK_VMS the number of VMs in each of three failure domains.
+-- reloads, new versions, kills, pauses, partitions, resets, a platform that is down, slow or stale or
+-- comes back from an older copy, and backend servers that hang, refuse, slow down or stop. Checks what
+-- callers on kept connections and backend servers saw. The seed determines the schedule: scenario-
+-- runner --seed N. SOAK_STEPS is the number of faults, SOAK_VMS the number of VMs in each of three
+-- failure domains.
 --
 -- Seeds that failed, with the cause; they keep their schedules without restores of the platform:
 --   1, 4: LOST, a stop ended without answering what was pending
--- a/tests/scenarios/scenario_soak_platform.lua
+++ b/tests/scenarios/scenario_soak_platform.lua
@@ -1,9 +1,9 @@
 -- Injects faults of the platform into real processes, in series and overlapping with the loss of many
 -- nodes: the platform loses all reads and returns with a storm of versions, all nodes are killed at
--- once, the platform comes back from an older copy (with or without an era, as the seed
--- chooses), nodes are stopped, killed and paused, backend servers are killed. Checks what scenario_soak
--- checks, and that each node without fault runs a version within the bound. The seed determines the
--- schedule: scenario-runner --seed N, with SOAK_STEPS and SOAK_VMS as in scenario_soak.
+-- once, the platform comes back from an older copy (with or without an era, as the seed chooses),
+-- nodes are stopped, killed and paused, backend servers are killed. Checks what scenario_soak checks,
+-- and that each node without fault runs a version within the bound. The seed determines the schedule:
+-- scenario-runner --seed N, with SOAK_STEPS and SOAK_VMS as in scenario_soak.
 --
 -- Seeds that failed, with the cause; they and those in KNOWN-RED.txt keep their schedules without
 -- restores:
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -376,7 +376,8 @@
       soak:after(100 + number % 700, function() soak:publish_storm(number % 4, number % 100) end)
     end)
   end)
-  print(now_ms() .. " away for " .. away_ms .. " ms, " .. (loses_reads and "loses" or "fails") .. " reads")
+  print(now_ms() .. " away for " .. away_ms .. " ms, reads are " ..
+        (loses_reads and "lost" or "failed"))
 end
 
 -- Each node that was without fault runs the version, unless the platform had a fault since or came back
