--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -8,6 +8,8 @@
 local STOP_SLACK_MS = 1000  -- beyond the drain timeout
 local STOP_WORK_MS = 500    -- after its caller left, no request starts at a backend server
 
+local ITEM_PERIOD_MS = 200  -- between writes of an item that no node reads
+
 local APPLY_BOUND_MS = 2000 -- a version is in force this long after its publication
 
 local EXIT_BY_SIGTERM = 143 -- of a process that has not begun to handle signals
@@ -21,8 +23,21 @@
   { "evacuate", 1 },
   { "kill", 2 }, { "pause", 2 }, { "cut", 1 }, { "reset", 1 }, { "delay", 1 }, { "platform", 2 },
   { "hang", 3 }, { "slow", 2 }, { "refuse", 2 }, { "kill_backend", 1 }, { "pause_backend", 2 },
+  { "restore", 1 },
 }
 
+-- Returns the weights, without restores of the platform for seeds whose schedule is to stay as it was
+-- before there were any. without: set of these seeds
+local function choose_weights(weights, without)
+  local chosen = {}
+  for _, entry in ipairs(weights) do
+    if entry[1] ~= "restore" or not (without or {})[SEED] then
+      table.insert(chosen, entry)
+    end
+  end
+  return chosen
+end
+
 local function draw_kind(weights)
   local total = 0
   for _, entry in ipairs(weights) do
@@ -37,21 +52,30 @@
   end
 end
 
--- options: steps, vms (of each failure domain), weights (of the faults, by default WEIGHTS)
+-- options: steps, vms (of each failure domain), weights (of the faults, by default WEIGHTS),
+-- without_restore (set of the seeds without restores of the platform)
 function new_soak(mesh, options)
   math.randomseed(SEED)
   local soak = setmetatable({ mesh = mesh, queue = {}, plan = {}, disturbed = {}, stops = {},
-                              evacuated = {}, highest = {}, failures = {} }, Soak)
+                              evacuated = {}, highest = {}, failures = {}, away = 0,
+                              began_at = now_ms(), next_item_at = 0 }, Soak)
+  local weights = choose_weights(options.weights or WEIGHTS, options.without_restore)
   local at = 2000
   for _ = 1, options.steps do
     at = at + math.random(100, 1100)
     table.insert(soak.plan, {
-      at = at, kind = draw_kind(options.weights or WEIGHTS), domain = math.random(1, 3), index = math.random(2, options.vms),
+      at = at, kind = draw_kind(weights), domain = math.random(1, 3), index = math.random(2, options.vms),
       other_domain = math.random(1, 3), duration = math.random(300, 4000),
       restart_ms = math.random(0, 1500), number = math.random(1, 1000000),
     })
   end
   soak.duration_ms = at + 4000
+  -- A restore beside no other fault, so that what is written after it is always checked.
+  for _, entry in ipairs(weights) do
+    if entry[1] == "restore" then
+      soak.last_restore = { number = math.random(1, 1000000), age_ms = math.random(4000, 8000) }
+    end
+  end
   for _, vm in ipairs(mesh.vms) do
     vm.state, vm.incarnation, vm.drain_ms = "up", 1, mesh:settings(vm).drain_timeout_ms
   end
@@ -253,7 +277,10 @@
   soak.mesh:control("mode?mode=" .. mode)
   soak:after(step.duration, function()
     if soak.platform_step == step then
-      soak.mesh:control("mode?mode=up")
+      soak.platform_step, soak.platform_ended_at = nil, now_ms()
+      if soak.away == 0 then
+        soak.mesh:control("mode?mode=up")
+      end
     end
   end)
   return mode
@@ -277,23 +304,92 @@
   soak.silent_since = now_ms()
   soak.mesh:control("mode?mode=silent")
   soak:after(500 + 2 * step.duration, function()
-    soak.mesh:control("mode?mode=up")
+    if soak.away == 0 then
+      soak.mesh:control("mode?mode=up")
+    end
     soak.silent_since, soak.silence_ended_at = nil, now_ms()
-    for i = 0, step.number % 6 do
-      soak:after(i * 260, function()
-        soak:publish(step.number % 100 + i)
-        local version, published_at = soak.mesh.version, now_ms()
-        soak:after(APPLY_BOUND_MS, function() soak:check_applied(version, published_at) end)
-      end)
+    soak:publish_storm(step.number % 6, step.number % 100)
+  end)
+end
+
+-- Publishes versions shortly after each other, and checks that they come into force.
+function Soak:publish_storm(last, timeout_extra_ms)
+  for i = 0, last do
+    self:after(i * 260, function()
+      self:publish(timeout_extra_ms + i)
+      self:expect_applied()
+    end)
+  end
+end
+
+-- Checks after the bound that the version that was just written is in force.
+function Soak:expect_applied()
+  local version, published_at = self.mesh.version, now_ms()
+  self:after(APPLY_BOUND_MS, function() self:check_applied(version, published_at) end)
+end
+
+-- Writes an item that is no configuration from time to time, as servers do. A copy of the platform is
+-- then behind by a number of revisions that grows with its age.
+function Soak:write_items()
+  if now_ms() < self.next_item_at then
+    return
+  end
+  self.next_item_at = now_ms() + ITEM_PERIOD_MS
+  if self.away == 0 and not self.silent_since then
+    self.mesh:control("item?key=note", "")
+  end
+end
+
+-- The platform is away shortly after a version, then comes back from an older copy. The operators write
+-- their newest document again, then new versions.
+function faults.restore(soak, step)
+  soak:publish(step.number % 100)
+  soak:after(step.number // 17 % 600, function() soak:restore_platform(step) end)
+end
+
+function Soak:restore_platform(step)
+  local soak = self
+  local number = step.number
+  local away_ms, rewrite_ms = 200 + number % 1301, 200 + number // 11 % 1801
+  local age_ms, loses_reads = step.age_ms or 500 + number // 7 % 7501, number // 13 % 2 == 0
+  soak.away = soak.away + 1
+  soak.mesh:control("mode?mode=" .. (loses_reads and "silent" or "down"))
+  soak:after(away_ms, function()
+    -- A copy from before the first document would be no mesh.
+    age_ms = math.min(age_ms, now_ms() - soak.began_at)
+    local revision = soak.mesh:control(
+      "restore?ms=" .. age_ms .. "&reads=" .. (loses_reads and "lost" or "failed")).body
+    if loses_reads then
+      soak.mesh:reset_connections("", "127." .. soak.mesh.base .. ".1.")
+    end
+    soak.away, soak.restored_at = soak.away - 1, now_ms()
+    soak.next_item_at = now_ms() + number // 19 % 4001 -- the servers back off, too
+    soak.mesh:control("mode?mode=" .. ((soak.silent_since or soak.away > 0) and "silent" or "up"))
+    print(now_ms() .. " restored a copy of " .. age_ms .. " ms, revision " .. revision)
+    for i = 1, 5 do
+      soak:after(i * 200, function() soak:check_versions() end)
     end
+    soak:after(rewrite_ms, function()
+      soak.mesh:publish(soak.mesh.document, soak.mesh.version)
+      soak:expect_applied()
+      print(now_ms() .. " wrote version " .. soak.mesh.version .. " again")
+      soak:after(100 + number % 700, function() soak:publish_storm(number % 4, number % 100) end)
+    end)
   end)
+  print(now_ms() .. " away for " .. away_ms .. " ms, reads are " ..
+        (loses_reads and "lost" or "failed"))
 end
 
--- Each node that was without fault runs the version, unless the platform was silent since.
+-- Each node that was without fault runs the version, unless the platform had a fault since or came back
+-- from a copy; the operators' next write has its own check.
 function Soak:check_applied(version, published_at)
-  if self.silent_since or (self.silence_ended_at or 0) > published_at then
+  local has_fault = self.silent_since or self.platform_step or self.away > 0
+  local ended_at = math.max(self.silence_ended_at or 0, self.platform_ended_at or 0,
+                            self.restored_at or 0)
+  if has_fault or ended_at > published_at then
     return
   end
+  self.checks = (self.checks or 0) + 1
   for _, vm in ipairs(self.mesh.vms) do
     local settled = (vm.started_at or 0) < published_at - CONTACT_MS
     local calm = vm.state == "up" and (vm.paused or 0) == 0 and settled and
@@ -384,16 +480,25 @@
   end
 end
 
--- In one lifetime of a process, its version never decreases.
+-- In one lifetime of a process, its version never decreases, nor does its era within a version, nor its
+-- revision within an era.
 function Soak:check_versions()
   for _, vm in ipairs(self.mesh.vms) do
     local status = vm.state == "up" and (vm.paused or 0) == 0 and self.mesh:status(vm)
     if status then
       local lifetime = vm.name .. "/" .. math.tointeger(status.incarnation)
-      if status.version < (self.highest[lifetime] or 0) then
-        self:fail(vm.name .. " went back to version " .. status.version)
+      local number = { status.version, status.era or 0, status.revision }
+      local highest = self.highest[lifetime] or { 0, 0, 0 }
+      for i = 1, #number do
+        if number[i] < highest[i] then
+          self:fail(vm.name .. " went back from " .. table.concat(highest, "/") .. " to version " ..
+                    table.concat(number, "/"))
+        end
+        if number[i] ~= highest[i] then
+          break
+        end
       end
-      self.highest[lifetime] = math.max(status.version, self.highest[lifetime] or 0)
+      self.highest[lifetime] = number
     end
   end
 end
@@ -424,10 +529,18 @@
     end
     return #self.queue == 0
   end
-  while not all_up() do
-    self:run_due()
-    self:watch_processes()
-    sleep_ms(TICK_MS)
+  local function run_queue()
+    while not all_up() do
+      self:run_due()
+      self:write_items()
+      self:watch_processes()
+      sleep_ms(TICK_MS)
+    end
+  end
+  run_queue()
+  if self.last_restore then
+    self:after(CONTACT_MS, function() faults.restore(self, self.last_restore) end)
+    run_queue()
   end
 end
 
@@ -511,6 +624,8 @@
 function Soak:check_recovery()
   self.mesh:control("mode?mode=up")
   self:publish()
+  print("versions that had to be in force within " .. APPLY_BOUND_MS .. " ms: " ..
+        (self.checks or 0))
   print("after the faults the last version is in force after " ..
         self.mesh:wait_version(self.mesh.version, 10000) .. " ms")
   self.mesh:wait_serving(15000)
@@ -542,15 +657,18 @@
 local TIMEOUTS = { { 4000, 5000 }, { 2000, 10000 }, { 3000, 5000 }, { 5000, 5000 } }
 
 -- Runs the schedule of the seed on a mesh under load and fails if a check does.
--- options: base (of the mesh), weights (of the faults, by default WEIGHTS)
+-- options: base (of the mesh), weights (of the faults, by default WEIGHTS), without_restore (set of the
+-- seeds without restores of the platform)
 function run_soak(options)
   local timeout_ms, drain_timeout_ms = table.unpack(TIMEOUTS[(SEED - 1) % #TIMEOUTS + 1])
   local mesh = new_mesh{ base = options.base, vms = VMS, rate = 5000, burst = 5000, relays = true,
                          timeout_ms = timeout_ms, drain_timeout_ms = drain_timeout_ms,
+                         platform = SEED // 2 % 2 == 0 and { "--era", "1" } or {},
                          backend = { "--service-us", "5000", "--log-runs" } }
   mesh.options.platform_address_of = function(vm) return mesh:platform_address(vm) end
   mesh:start()
-  local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights })
+  local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights,
+                                without_restore = options.without_restore })
 
   -- The first VM of each failure domain gets no faults; its load tells whether the mesh serves.
   local entry_vms = { mesh:vm("vm-1-1"), mesh:vm("vm-2-1"), mesh:vm("vm-3-1") }
