Store restore test: an instance that left by the version of a peer

The reader keeps what a peer's version withdrew out of its publications until the store confirms it; the test covers an instance that left while this node did not read the store.

--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -290,3 +290,17 @@
            .revision_ = 13 });
   BOOST_TEST(FindInstance(kOther)->startedAt_ == 6U);
 }
+
+// A node that had not read the store for a while took an instance for ready that had left by the
+// version of its peers.
+BOOST_FIXTURE_TEST_CASE(an_instance_that_left_by_the_version_of_a_peer_is_not_ready, RestoredStore)
+{
+  ReaderFixture peer;
+  peer.Answer({ .result_ = ReadResult::Complete,
+                .items_ = { { kOther.Text(), std::nullopt } },
+                .revision_ = 12 });
+  BOOST_REQUIRE(
+    context_.Versions().Apply(peer.context_.Versions().MakeDelta(VersionId{}), codec_).has_value());
+  Restore(1);
+  BOOST_TEST(!IsPublished(kOther));
+}
