Do not renumber an exact content that another one contradicts

Cause: a content that followed another exact one with the same number got the number of settled contents, so the nodes exchanged it without a report, while only contents after interim ones are to get it. Change: an exact content keeps its number unless an interim one of the revision is in force. Result: convergence_test, one_number_with_two_contents_is_reported_and_not_applied failed with 10 checks and passes.

--- a/include/geraniumpin/process/platform_content.hpp
+++ b/include/geraniumpin/process/platform_content.hpp
@@ -106,8 +106,7 @@
     const auto& running = context_.Versions().CurrentId().number_;
     auto base = running;
     base.interim_ = number.interim_;
-    if (base == number && running.interim_ >= number.interim_ &&
-        running.interim_ != VersionNumber::kSettled) {
+    if (base == number && running.interim_ >= number.interim_ && !running.IsExact()) {
       number.interim_ = isBefore ? running.interim_ + 1 : VersionNumber::kSettled;
     }
     return number;
