Apply the era of a peer before holds are released

Cause: OnTimer released holds before it began the listing that the era of a peer asks for. The listing that it replaced had kept holds from being released, so holds that were due meanwhile made the deadline of the reader lie in the past until the next turn. Change: the era comes first.

--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -107,12 +107,12 @@
       readDeadline_.reset();
       OnReadFailed("no answer in time");
     }
-    if (!IsListingHalfway() && content_.Items().ReleaseDue(now)) {
-      Publish();
-    }
     if (era_.OnVersion(context_.Versions().CurrentId().number_.era_)) {
       ListAfterPeer(now);
     }
+    if (!IsListingHalfway() && content_.Items().ReleaseDue(now)) {
+      Publish();
+    }
     if (!readDeadline_ && now >= nextRead_) {
       nextRead_ = now + kWatchCheckPeriod;
       if (ShouldWatch(now) || isReadRequested_) {
