--- a/include/geraniumpin/connection/config_watch.hpp
+++ b/include/geraniumpin/connection/config_watch.hpp
@@ -37,7 +37,7 @@
   std::uint64_t revision_ = 0; ///< of the platform when it answered
   /// Rises each time that the platform comes back from an older copy; nothing if it states none.
   std::optional<std::uint64_t> era_;
-  std::string detail_;         ///< why it failed; for logs
+  std::string detail_; ///< why it failed; for logs
 };
 
 /// \brief How recent the configuration of a node is; logged with refusals that it causes.
--- a/include/geraniumpin/version/version_id.hpp
+++ b/include/geraniumpin/version/version_id.hpp
@@ -26,8 +26,8 @@
   static constexpr std::uint32_t kSettled = 0xffffffff;
 
   /// Counts contents that come after that of the revision and before the next one: they have some,
-  /// but not all, of the changes that follow, or items that are held. 0 and kSettled: the content of
-  /// the revision.
+  /// but not all, of the changes that follow, or items that are held. 0 and kSettled: the content
+  /// of the revision.
   std::uint32_t interim_ = 0;
 
   /// \brief Returns true if the content depends on the platform alone.
