An instance that drained accepts no requests before its next start

Callers saw requests at instances that had said they were leaving (DRAIN). Cause: a node that missed one of two restores in a row can publish a version that has a draining instance as ready again, and the node beside the instance took it as it came. Change: OwnInstance keeps the start that has drained; the owner refuses new requests to it as not run until a later start is published. A platform that states no starts is taken at its word.

--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -6,6 +6,7 @@
 #include "geraniumpin/process/failure_breaker.hpp"
 #include "geraniumpin/process/link_admission.hpp"
 #include "geraniumpin/process/node_context.hpp"
+#include "geraniumpin/process/own_instance.hpp"
 #include "geraniumpin/process/pace_monitor.hpp"
 #include "geraniumpin/process/room_tracker.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
@@ -58,23 +59,20 @@
     const auto placement = aSnapshot.FindPlacement(context_.Self());
     if (!placement) {
       if (!service_.empty()) {
-        context_.Write(LogEvent("instance_gone").With("instance", instance_));
+        context_.Write(LogEvent("instance_gone").With("instance", instance_.Name()));
       }
       service_.clear();
-      instance_.clear();
-      acceptsWork_ = false;
+      instance_ = instance_.AfterRemoval();
       RefuseQueued(Reason::ServiceNotHere);
       return;
     }
     const auto& service = placement->service_;
     const auto& server = placement->backendServer_;
-    const bool instanceChanged = instance_ != server.name_ || startedAt_ != server.startedAt_;
+    const auto previous = std::exchange(instance_, instance_.After(server));
+    const bool instanceChanged = !instance_.IsSameStart(previous);
     const bool wasInService =
       std::exchange(inService_, aSnapshot.FindFailureDomain(server.failureDomain_)->inService_);
     const bool serviceChanged = std::exchange(service_, service.name_) != service.name_;
-    instance_ = server.name_;
-    startedAt_ = server.startedAt_;
-    acceptsWork_ = server.state_ == InstanceState::Ready;
     coldTime_ = service.coldTime_ > Duration{} ? Duration(service.coldTime_) : kDefaultColdTime;
     const auto slots = server.slots_ > 0 ? server.slots_ : service.slots_;
     auto& slowStart = admission_.SlowStart();
@@ -234,7 +232,7 @@
     if (!inService_) {
       return Reason::OutOfService;
     }
-    if (!service_.empty() && !acceptsWork_) {
+    if (!service_.empty() && !instance_.AcceptsWork()) {
       return Reason::Draining;
     }
     if (const auto refusal = CheckRouteAndKey(*snapshot, aEnvelope, aRequest)) {
@@ -286,7 +284,7 @@
       unreachable_ = true;
     } else if (aResult == BackendResult::Answered && std::exchange(unreachable_, false)) {
       admission_.SlowStart().SetColdUntil(context_.Now() + coldTime_);
-      context_.Write(LogEvent("instance_regained").With("instance", instance_));
+      context_.Write(LogEvent("instance_regained").With("instance", instance_.Name()));
     }
     if (unreachable_) {
       admission_.SlowStart().SetColdUntil(context_.Now() + coldTime_);
@@ -304,7 +302,8 @@
       return;
     }
     if (!replacedUntil_) {
-      context_.Write(LogEvent("instance_replaced", Severity::Warning).With("instance", instance_));
+      context_.Write(
+        LogEvent("instance_replaced", Severity::Warning).With("instance", instance_.Name()));
     }
     replacedUntil_ = context_.Now() + kReplacedInstanceRetry;
     RefuseQueued(Reason::InstanceReplaced);
@@ -321,7 +320,7 @@
     if (breaker_.IsOpen() != wasOpen) {
       context_.Write(
         LogEvent(wasOpen ? "instance_recovered" : "instance_failing", Severity::Warning)
-          .With("instance", instance_)
+          .With("instance", instance_.Name())
           .With("status", aEnd.status_));
     }
   }
@@ -432,7 +431,7 @@
     auto token = tokens_.Issue(aId, tokenContext, context_.Ports().random_);
     context_.Ports().backend_.Start({ .id_ = aId,
                                       .requestId_ = request.requestId_,
-                                      .instance_ = instance_,
+                                      .instance_ = instance_.Name(),
                                       .team_ = request.team_,
                                       .method_ = request.method_,
                                       .host_ = request.host_,
@@ -504,8 +503,8 @@
              Duration aRan = {})
   {
     RecordFinished(aId);
-    const bool acceptsWork =
-      inService_ && acceptsWork_ && !replacedUntil_ && !context_.GetMembership().IsLeaving();
+    const bool acceptsWork = inService_ && instance_.AcceptsWork() && !replacedUntil_ &&
+                             !context_.GetMembership().IsLeaving();
     context_.Send(aEntry,
                   CallReply{ .id_ = aId.call_,
                              .attempt_ = aId.attempt_,
@@ -587,7 +586,7 @@
                      .With("call", ToString(aEnd.id_.call_))
                      .With("request", aAttempt.request_.requestId_)
                      .With("attempt", aEnd.id_.attempt_)
-                     .With("instance", instance_)
+                     .With("instance", instance_.Name())
                      .With("detail", aEnd.detail_)
                      .With("us", Microseconds(context_.Now() - aAttempt.startedAt_)));
   }
@@ -656,9 +655,7 @@
   CallTokens& tokens_;
   Admission<AttemptId, InstanceController> admission_;
   std::string service_;
-  std::string instance_;
-  std::uint64_t startedAt_ = 0;
-  bool acceptsWork_ = false;     ///< the instance is ready
+  OwnInstance instance_;
   double saturation_ = 0;        ///< of this node
   bool inService_ = false;       ///< its failure domain is in service
   bool wasOutOfService_ = false; ///< at any time since this process started
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -217,6 +217,28 @@
   BOOST_TEST(mesh.At(NodeAt(1, 1)).IsIdle());
 }
 
+// Guards against requests at an instance that a restored store has as ready again (rule DRAIN).
+BOOST_AUTO_TEST_CASE(an_instance_that_drained_gets_no_requests_before_its_next_start)
+{
+  FakeMesh mesh(5);
+  StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 1 });
+  const auto callAfter = [&](std::uint64_t aVersion, bool aDraining, std::uint64_t aStartedAt) {
+    auto document = MakeDocument({ .domains_ = 1, .nodesPerDomain_ = 1, .version_ = aVersion });
+    auto& server = document["services"][0]["backend_servers"][0];
+    server["draining"] = aDraining;
+    server["started_at_ms"] = aStartedAt;
+    mesh.Publish(Encode(document));
+    mesh.Run(milliseconds(500));
+    const auto id = mesh.Call(NodeAt(1, 1), "small");
+    mesh.Run(milliseconds(3000));
+    return mesh.CountRuns(id);
+  };
+  BOOST_TEST(callAfter(2, false, 7) == 1U);
+  BOOST_TEST(callAfter(3, true, 7) == 0U);
+  BOOST_TEST(callAfter(4, false, 7) == 0U);
+  BOOST_TEST(callAfter(5, false, 8) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_entry_node_uses_other_owners_until_it_stops_accepting)
 {
   FakeMesh mesh(14);
