Hold what the version of a peer has in a later state

Callers saw requests at instances that had said they were leaving (DRAIN). Cause: a node that missed a restore lists the next copy beside the version of the era before, and later publishes its own items, whose revision is as high, in place of the versions of peers that hold a draining instance. Change: for the grace period after the listing of a copy, a node that publishes after an interim version holds the instances that this version has in a later state. IsLater and FindInstancePlace move to version/.

--- a/include/geraniumpin/process/platform_content.hpp
+++ b/include/geraniumpin/process/platform_content.hpp
@@ -73,8 +73,11 @@
       return;
     }
     wasComplete_ = true;
-    encoder_.Update(assembly, context_.Ports().codec_);
     const auto& running = context_.Versions().Current();
+    if (running && !runningId.number_.IsExact()) {
+      items_.KeepLaterInstances(*running, context_.Now());
+    }
+    encoder_.Update(assembly, context_.Ports().codec_);
     const auto number = MakeNumber(aPosition);
     const bool settles = !runningId.number_.IsExact() && number.IsExact();
     if (running && running->GetManifest().parts_ == encoder_.Digests() &&
--- a/include/geraniumpin/process/platform_items.hpp
+++ b/include/geraniumpin/process/platform_items.hpp
@@ -64,6 +64,10 @@
   /// \brief Ends a listing: removes or holds the items that are not among the listed keys.
   void EndListing(const std::set<std::string>& aKeys, ItemOrigin aOrigin, TimePoint aNow);
 
+  /// \brief Holds the instances that a version in force has in a later state, in the first
+  /// kOutdatedGrace after the listing of a copy: its publisher can know what this node has missed.
+  void KeepLaterInstances(const Snapshot& aRunning, TimePoint aNow);
+
   /// \brief Replaces the held items whose grace period has ended by what the platform has.
   /// \returns True if there were any.
   bool ReleaseDue(TimePoint aNow);
@@ -114,7 +118,6 @@
   void KeepInstancesInForce(TimePoint aNow);
   void KeepDomainsOutOfService(TimePoint aNow);
   [[nodiscard]] std::uint64_t DocumentNumber() const;
-  [[nodiscard]] InstancePlace FindInstancePlace() const;
   /// Returns how long an instance of a copy that is not in force is kept from it.
   [[nodiscard]] Duration GraceOfUnknown(const std::string& aKey,
                                         const BackendServer& aListed) const;
@@ -123,6 +126,7 @@
   std::map<std::string, Held> held_;
   std::map<std::string, Removal> removals_;
   TimePoint expiryGraceEndsAt_{};
+  TimePoint copyGraceEndsAt_{};
   SharedSnapshot running_; ///< during the listing of a copy
   /// Instances in force by id when the listing of a copy began, without those that it has had so
   /// far.
--- a/include/geraniumpin/version/document.hpp
+++ b/include/geraniumpin/version/document.hpp
@@ -42,6 +42,16 @@
   auto operator<=>(const BackendServer&) const = default;
 };
 
+/// \brief Returns true if the first state of an instance follows the second one: an instance that
+/// drains does not accept requests again before its next start.
+[[nodiscard]] inline bool
+IsLater(const BackendServer& aFirst, const BackendServer& aSecond) noexcept
+{
+  return aFirst.startedAt_ != aSecond.startedAt_
+           ? aFirst.startedAt_ > aSecond.startedAt_
+           : aFirst.state_ == InstanceState::Draining && aSecond.state_ == InstanceState::Ready;
+}
+
 /// \brief A service and its instances.
 struct Service
 {
--- a/include/geraniumpin/version/in_force.hpp
+++ b/include/geraniumpin/version/in_force.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/version/document_assembly.hpp"
 #include "geraniumpin/version/published.hpp"
 #include "geraniumpin/version/snapshot.hpp"
 
@@ -14,6 +15,10 @@
   Document ///< with the services of the document
 };
 
+/// \brief Returns where the platform that has these items publishes instances.
+[[nodiscard]] InstancePlace
+FindInstancePlace(const DocumentAssembly& aItems);
+
 /// \brief Reassembles the operators' document that a version contains.
 /// \param aPlace Decides whether the services of the result have their instances.
 [[nodiscard]] PublishedDocument
--- a/src/process/platform_items.cpp
+++ b/src/process/platform_items.cpp
@@ -13,16 +13,6 @@
 constexpr std::string_view kInForcePrefix = "in force ";
 constexpr std::string_view kDocumentInForce = "in force document";
 
-/// Returns true if the first state of an instance follows the second one. An instance that drains
-/// does not accept requests again before its next start.
-bool
-IsLater(const BackendServer& aFirst, const BackendServer& aSecond) noexcept
-{
-  return aFirst.startedAt_ != aSecond.startedAt_
-           ? aFirst.startedAt_ > aSecond.startedAt_
-           : aFirst.state_ == InstanceState::Draining && aSecond.state_ == InstanceState::Ready;
-}
-
 std::string
 MakeInForceKey(const std::string& aId)
 {
@@ -195,6 +185,9 @@
   std::erase_if(held_, [&](const auto& aEntry) {
     return !aKeys.contains(aEntry.first) && assembly_.Find(aEntry.first) == nullptr;
   });
+  if (aOrigin == ItemOrigin::Copy) {
+    copyGraceEndsAt_ = aNow + kOutdatedGrace;
+  }
   if (aOrigin == ItemOrigin::Copy && running_) {
     KeepDocumentInForce();
     KeepInstancesInForce(aNow);
@@ -211,7 +204,7 @@
   if (running_->DocumentNumber() <= DocumentNumber()) {
     return;
   }
-  const auto place = FindInstancePlace();
+  const auto place = FindInstancePlace(assembly_);
   for (const auto& key : assembly_.Keys()) {
     const auto* item = assembly_.Find(key);
     if (std::holds_alternative<PublishedDocument>(*item)) {
@@ -226,7 +219,7 @@
 void
 PlatformItems::KeepInstancesInForce(TimePoint aNow)
 {
-  if (FindInstancePlace() == InstancePlace::Document) {
+  if (FindInstancePlace(assembly_) == InstancePlace::Document) {
     return;
   }
   for (auto& [id, instance] : unlisted_) {
@@ -240,7 +233,7 @@
 void
 PlatformItems::KeepDomainsOutOfService(TimePoint aNow)
 {
-  if (FindInstancePlace() == InstancePlace::Document) {
+  if (FindInstancePlace(assembly_) == InstancePlace::Document) {
     return;
   }
   for (const auto& domain : assembly_.FailureDomains().failureDomains_) {
@@ -253,6 +246,29 @@
   }
 }
 
+void
+PlatformItems::KeepLaterInstances(const Snapshot& aRunning, TimePoint aNow)
+{
+  if (aNow >= copyGraceEndsAt_) {
+    return;
+  }
+  std::map<std::string, PublishedInstance> running;
+  for (auto& instance : ReadInstances(aRunning)) {
+    running.emplace(instance.backendServer_.name_, std::move(instance));
+  }
+  for (const auto& key : assembly_.Keys()) {
+    const auto* known = std::get_if<PublishedInstance>(assembly_.Find(key));
+    const auto found = known == nullptr ? running.end() : running.find(known->backendServer_.name_);
+    if (found == running.end() || !IsLater(found->second.backendServer_, known->backendServer_)) {
+      continue;
+    }
+    const auto held = held_.find(key);
+    auto listed = held == held_.end() ? std::optional<DecodedItem>(*known) : held->second.listed_;
+    assembly_.Put(key, found->second);
+    Hold(key, copyGraceEndsAt_, std::move(listed));
+  }
+}
+
 void
 PlatformItems::Apply(const std::string& aKey, std::optional<DecodedItem> aItem, TimePoint aNow)
 {
@@ -325,22 +341,4 @@
   return assembly_.HasDocument() ? NumberOf(*assembly_.Document()) : 0;
 }
 
-InstancePlace
-PlatformItems::FindInstancePlace() const
-{
-  if (assembly_.HasDocument()) {
-    const auto& services = std::get<PublishedDocument>(*assembly_.Document()).services_;
-    const bool hasInstances =
-      std::any_of(services.begin(), services.end(), [](const auto& aService) {
-        return !aService.backendServers_.empty();
-      });
-    return hasInstances ? InstancePlace::Document : InstancePlace::Items;
-  }
-  const auto keys = assembly_.Keys();
-  const bool hasItems = std::any_of(keys.begin(), keys.end(), [&](const auto& aKey) {
-    return std::holds_alternative<PublishedInstance>(*assembly_.Find(aKey));
-  });
-  return hasItems ? InstancePlace::Items : InstancePlace::Document;
-}
-
 } // namespace geraniumpin
--- a/src/version/in_force.cpp
+++ b/src/version/in_force.cpp
@@ -1,7 +1,27 @@
 #include "geraniumpin/version/in_force.hpp"
 
+#include <algorithm>
+
 namespace geraniumpin {
 
+InstancePlace
+FindInstancePlace(const DocumentAssembly& aItems)
+{
+  if (aItems.HasDocument()) {
+    const auto& services = std::get<PublishedDocument>(*aItems.Document()).services_;
+    const bool hasInstances =
+      std::any_of(services.begin(), services.end(), [](const auto& aService) {
+        return !aService.backendServers_.empty();
+      });
+    return hasInstances ? InstancePlace::Document : InstancePlace::Items;
+  }
+  const auto keys = aItems.Keys();
+  const bool hasItems = std::any_of(keys.begin(), keys.end(), [&](const auto& aKey) {
+    return std::holds_alternative<PublishedInstance>(*aItems.Find(aKey));
+  });
+  return hasItems ? InstancePlace::Items : InstancePlace::Document;
+}
+
 PublishedDocument
 ReadDocument(const Snapshot& aSnapshot, InstancePlace aPlace)
 {
