Reader comments: parameters on lines of their own, and the example of PlatformItems

Comments and the order of two declarations only: the formatter had joined lines, and the example called BeginCopy with an argument that it does not take.

--- a/include/geraniumpin/process/platform_contact.hpp
+++ b/include/geraniumpin/process/platform_contact.hpp
@@ -53,7 +53,10 @@
 
   /// \brief Returns true if an answer that arrives now may follow an outage of the platform: for
   /// that time no node is known to have had one. A node that did not read, or whose own answer was
-  /// lost, learns of the answers to others. \param aIsFailing Whether the read before failed.
+  /// lost, learns of the answers to others.
+  ///
+  /// \param aIsFailing Whether the read before failed.
+  ///
   /// \param aWatchWait Time in which a watch waits for changes, which is no silence.
   [[nodiscard]] bool MayFollowOutage(bool aIsFailing,
                                      Duration aWatchWait,
--- a/include/geraniumpin/process/platform_items.hpp
+++ b/include/geraniumpin/process/platform_items.hpp
@@ -26,7 +26,7 @@
 /// outage would undo stays in force until it is written again or its grace period ends.
 ///
 /// \code
-/// items.BeginCopy(running.get(), now);
+/// items.BeginCopy(running);
 /// items.Put(key, item, ItemOrigin::Copy, now);
 /// items.EndListing(keys, ItemOrigin::Copy, now);
 /// \endcode
--- a/include/geraniumpin/process/read_log.hpp
+++ b/include/geraniumpin/process/read_log.hpp
@@ -21,9 +21,11 @@
   }
 
   /// \brief Counts and logs what a read changed, in the terms that tell apart a store that went
-  /// back, one revision with two contents, and a change that was missed. \param aPrevious Revision
-  /// of the answer before; 0: there was none. \param aHeld Number of items that are not in force as
-  /// the platform has them.
+  /// back, one revision with two contents, and a change that was missed.
+  ///
+  /// \param aPrevious Revision of the answer before; 0: there was none.
+  ///
+  /// \param aHeld Number of items that are not in force as the platform has them.
   void Write(std::string_view aEvent,
              const ItemsRead& aRead,
              std::uint64_t aPrevious,
--- a/include/geraniumpin/process/store_era.hpp
+++ b/include/geraniumpin/process/store_era.hpp
@@ -41,7 +41,9 @@
 
   /// \brief Applies an answer.
   /// \param aKnownRevision Lowest revision that the store can have if it was not restored; 0:
-  /// unknown. \param aIsListing Whether the answer is the first page of a listing.
+  /// unknown.
+  ///
+  /// \param aIsListing Whether the answer is the first page of a listing.
   StoreHistory OnAnswer(const ItemsRead& aRead, std::uint64_t aKnownRevision, bool aIsListing)
   {
     isStated_ = aRead.era_.has_value();
--- a/include/geraniumpin/version/version_id.hpp
+++ b/include/geraniumpin/version/version_id.hpp
@@ -19,12 +19,12 @@
 /// \endcode
 struct VersionNumber
 {
-  std::uint64_t document_ = 0; ///< number of the operators' document; 0: not stated
-  std::uint64_t era_ = 0;      ///< of the platform's store; 0: it states none and never went back
-  std::uint64_t revision_ = 0; ///< of the platform's store; 0: no configuration
   /// interim_ of the content of a revision that follows other contents of it.
   static constexpr std::uint32_t kSettled = 0xffffffff;
 
+  std::uint64_t document_ = 0; ///< number of the operators' document; 0: not stated
+  std::uint64_t era_ = 0;      ///< of the platform's store; 0: it states none and never went back
+  std::uint64_t revision_ = 0; ///< of the platform's store; 0: no configuration
   /// Counts contents that come after that of the revision and before the next one: they have some,
   /// but not all, of the changes that follow, or items that are held. 0 and kSettled: the content
   /// of the revision.
