State what arrives at a node by kind, with its delay

The log had the delay of requests only, so a queue of bodies on the link of a node could not be told from versions or membership that are late by themselves. Each node now writes one line a second (link_traffic) with the number, bytes and longest delay of the messages of each kind, and has a histogram of the delay of each kind. No decision reads them.

--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -4,6 +4,7 @@
 #include "geraniumpin/process/config_service.hpp"
 #include "geraniumpin/process/entry_service.hpp"
 #include "geraniumpin/process/gossip_service.hpp"
+#include "geraniumpin/process/link_traffic.hpp"
 #include "geraniumpin/process/node_saturation.hpp"
 #include "geraniumpin/process/node_status.hpp"
 #include "geraniumpin/process/owner_service.hpp"
@@ -95,6 +96,7 @@
       excessDelay_ = linkDelay_.OnMessage(
         aEnvelope.sender_, aEnvelope.senderIncarnation_, aEnvelope.sentAt_, context_.Now());
       measured_.wait_ = std::max(measured_.wait_, excessDelay_);
+      RecordTraffic(aEnvelope.payload_);
       if (context_.Links().OnMessage(aEnvelope, context_.Now())) {
         context_.ReplaceConnection(aEnvelope.sender_);
       }
@@ -339,6 +341,16 @@
   }
   void Handle(const Envelope& /*aEnvelope*/, const LinkAck& /*aPayload*/) {}
 
+  void RecordTraffic(const Payload& aPayload)
+  {
+    const auto report = linkTraffic_.OnMessage(aPayload, excessDelay_, context_.Now());
+    context_.GetMetrics().Record(
+      "delay_" + std::string(ToString(FindTrafficKind(aPayload))) + "_ms", excessDelay_);
+    if (report) {
+      context_.Write(MakeTrafficEvent(*report));
+    }
+  }
+
   /// Replaces the connections of silent links, and sends what checks and confirms others.
   void MaintainLinks()
   {
@@ -428,6 +440,7 @@
   TimePoint turnStartedAt_{};     ///< first event of the turn in progress; zero before it
   TurnMonitor turnMonitor_;
   LinkDelay linkDelay_;
+  LinkTraffic linkTraffic_;
   Duration excessDelay_{}; ///< of the message in progress, beyond the lowest delay of its link
 };
 
--- a/src/connection/link_monitor.cpp
+++ b/src/connection/link_monitor.cpp
@@ -1,5 +1,7 @@
 #include "geraniumpin/connection/link_monitor.hpp"
 
+#include "geraniumpin/connection/content_size.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,31 +20,6 @@
          !std::holds_alternative<LinkAck>(aPayload);
 }
 
-std::size_t
-BodyBytes(const Body& aBody) noexcept
-{
-  return aBody ? aBody->size() : 0;
-}
-
-/// The bytes of the payload that may be many.
-std::size_t
-ContentBytes(const Payload& aPayload) noexcept
-{
-  if (const auto* request = std::get_if<CallRequest>(&aPayload)) {
-    return BodyBytes(request->body_);
-  }
-  if (const auto* reply = std::get_if<CallReply>(&aPayload)) {
-    return BodyBytes(reply->answer_.body_);
-  }
-  std::size_t bytes = 0;
-  if (const auto* push = std::get_if<VersionPush>(&aPayload)) {
-    for (const auto& [name, part] : push->delta_.changed_) {
-      bytes += BodyBytes(part);
-    }
-  }
-  return bytes;
-}
-
 Duration
 TransferTime(std::size_t aBytes) noexcept
 {
@@ -60,7 +37,7 @@
   link.usedAt_ = aNow;
   link.ackDueAt_.reset();
   link.transferredAt_ =
-    std::max(link.transferredAt_, aNow) + impl::TransferTime(impl::ContentBytes(aPayload));
+    std::max(link.transferredAt_, aNow) + impl::TransferTime(ContentBytes(aPayload));
   if (link.isMonitored_ && impl::ExpectsConfirmation(aPayload)) {
     // Messages carry the time in microseconds.
     link.sentAt_ = std::chrono::floor<std::chrono::microseconds>(aNow);
