--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "documents.hpp"
+#include "geraniumpin/connection/content_size.hpp"
 #include "geraniumpin/process/node.hpp"
 
 #include <functional>
@@ -315,6 +316,9 @@
   LinkFaults faults_;
   /// Whether messages from the first to the second node are lost; may be empty.
   std::function<bool(const NodeAddress&, const NodeAddress&)> isPartitioned_;
+  /// Rate at which a node receives from all others together; without one it receives at once.
+  std::map<NodeAddress, std::uint64_t> linkBitsPerSecond_;
+  Duration longestLinkQueue_{}; ///< time for what was under way to such a node
   bool platformDown_ = false;
   bool overloadControl_ = false; ///< of the nodes that are started from here on
   /// Nodes of the release before, which know neither document nor era nor interim versions, and
@@ -411,6 +415,23 @@
 
   void AnswerRead(FakePorts& aPorts, std::uint64_t aRead, bool aWithItems);
 
+  /// Appends a message to what is under way to a node, and returns the time until it has arrived.
+  [[nodiscard]] Duration QueueOnLink(const NodeAddress& aTo, const Envelope& aMessage)
+  {
+    constexpr std::size_t kHeaderBytes = 300;
+    const auto rate = linkBitsPerSecond_.find(aTo);
+    if (rate == linkBitsPerSecond_.end()) {
+      return {};
+    }
+    const auto bytes = ContentBytes(aMessage.payload_) + kHeaderBytes;
+    const std::chrono::duration<double> transfer(static_cast<double>(bytes) * 8 /
+                                                 static_cast<double>(rate->second));
+    auto& freeAt = linkFreeAt_[aTo];
+    freeAt = std::max(freeAt, clock_.Now()) + std::chrono::duration_cast<Duration>(transfer);
+    longestLinkQueue_ = std::max(longestLinkQueue_, freeAt - clock_.Now());
+    return freeAt - clock_.Now();
+  }
+
   void Transmit(const NodeAddress& aFrom, const NodeAddress& aTo, const Envelope& aMessage)
   {
     ++sentCount_;
@@ -425,7 +446,7 @@
           silentConnections_.contains({ aFrom, aTo })) {
         continue;
       }
-      At(DrawDelay(), [this, aFrom, aTo, aMessage] {
+      At(DrawDelay() + QueueOnLink(aTo, aMessage), [this, aFrom, aTo, aMessage] {
         const bool isMixed = earlierNodes_.contains(aFrom) || earlierNodes_.contains(aTo);
         const auto message = isMixed ? AsOfEarlierRelease(aMessage) : aMessage;
         Deliver(aTo, [this, aTo, message] { At(aTo).OnEnvelope(message); });
@@ -490,6 +511,7 @@
   std::set<std::pair<NodeAddress, NodeAddress>> openConnections_;
   std::set<std::pair<NodeAddress, NodeAddress>> silentConnections_;
   std::priority_queue<Event> events_;
+  std::map<NodeAddress, TimePoint> linkFreeAt_;
   std::map<NodeAddress, std::uint64_t> highestRead_; ///< revision of the platform
   std::uint64_t sequence_ = 0;
   std::uint64_t incarnations_ = 0;
