Bodies are offered to nodes with a narrow link, and sent when granted

Cause: nobody bounds the bytes under way to a receiver. An entry node sent a body without knowing what others send, the owner judged it after it had arrived, and what was late was taken for silent and sent again.

Change: each message states the size from which its sender wants bodies offered (16 KB, or 5 ms of its link). BodyHolder holds requests and replies with larger bodies, OfferService grants them within the ReceiveWindow of the receiver (receive_window_ms, 100 by default), or refuses requests at once, as not run, with the time ahead of them as Retry-After. A request whose body was not sent is known not to have run, so it goes to another owner whatever its kind. Nodes of the release before get and send bodies as until now.

--- a/include/geraniumpin/connection/message.hpp
+++ b/include/geraniumpin/connection/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/transfer.hpp"
 #include "geraniumpin/process/clock.hpp"
 #include "geraniumpin/process/owner_room.hpp"
 #include "geraniumpin/request/call.hpp"
@@ -55,6 +56,30 @@
   const std::vector<CalledService> called_{}; ///< by executions of the route of the request
 };
 
+/// \brief Entry node to owner node: a request whose body waits for a BodyGrant.
+struct CallOffer
+{
+  const CallRequest request_; ///< without its body
+  const std::uint64_t bodyBytes_ = 0;
+};
+
+/// \brief Owner node to entry node: a reply is ready; its body waits for a BodyGrant.
+struct ReplyOffer
+{
+  const AttemptId id_;
+  const std::uint64_t bodyBytes_ = 0;
+
+  auto operator<=>(const ReplyOffer&) const = default;
+};
+
+/// \brief Receiver of an offer to its sender: send the CallRequest or CallReply with its body now.
+struct BodyGrant
+{
+  const TransferId id_;
+
+  auto operator<=>(const BodyGrant&) const = default;
+};
+
 /// \brief Entry node to owner node: the result of this attempt is no longer needed.
 struct CallCancel
 {
@@ -180,7 +205,14 @@
                              LeaseGrant,
                              TakeoverRequest,
                              TakeoverConfirmation,
-                             LinkAck>;
+                             LinkAck,
+                             CallOffer,
+                             ReplyOffer,
+                             BodyGrant>;
+
+/// \brief Copies a request with another body and remaining time.
+[[nodiscard]] CallRequest
+WithBody(const CallRequest& aRequest, const Body& aBody, Duration aRemaining);
 
 /// \brief State of the link between two nodes as the sender of a message has recorded it.
 struct LinkHeader
@@ -202,6 +234,8 @@
   const VersionId senderVersion_;
   const Duration sentAt_{};              ///< reading of the sender's clock; 0: unknown
   const std::optional<LinkHeader> link_; ///< nothing: the sender is of an earlier release
+  /// Size in bytes from which bodies must be offered to the sender; 0: never.
+  const std::uint64_t offerMinBytes_ = 0;
   const Payload payload_;
 };
 
--- a/include/geraniumpin/process/admission.hpp
+++ b/include/geraniumpin/process/admission.hpp
@@ -71,13 +71,12 @@
   [[nodiscard]] tl::expected<AdmissionResult, Reason> Admit(const QueuedWork<Ticket>& aWork,
                                                             TimePoint aNow)
   {
-    if (queue_.Size() == 0 && CanStart(aNow)) {
+    if (MayStartNow(aNow)) {
       OnStart(aNow);
       return AdmissionResult::Start;
     }
-    const auto startsAt = aNow + ExpectedWait(aWork.rank_, aNow);
-    if (startsAt > aWork.ExpiresAt() || startsAt + aWork.expectedServiceTime_ > aWork.deadline_) {
-      return tl::make_unexpected(Reason::DeadlinePassed);
+    if (const auto refusal = FindRefusal(aWork, aNow)) {
+      return tl::make_unexpected(*refusal);
     }
     if (!queue_.Push(aWork)) {
       return tl::make_unexpected(Reason::Overloaded);
@@ -85,6 +84,20 @@
     return AdmissionResult::Queued;
   }
 
+  /// \brief Returns why a request would miss its deadline or queue deadline; nothing if it would
+  /// meet them.
+  [[nodiscard]] std::optional<Reason> FindRefusal(const QueuedWork<Ticket>& aWork,
+                                                  TimePoint aNow) const
+  {
+    if (MayStartNow(aNow)) {
+      return std::nullopt;
+    }
+    const auto startsAt = aNow + ExpectedWait(aWork.rank_, aNow);
+    const bool isLate =
+      startsAt > aWork.ExpiresAt() || startsAt + aWork.expectedServiceTime_ > aWork.deadline_;
+    return isLate ? std::optional(Reason::DeadlinePassed) : std::nullopt;
+  }
+
   /// \brief Records the end of a running request.
   [[nodiscard]] AdmissionActions<Ticket> OnEnd(WorkResult aResult,
                                                TimePoint aStartedAt,
@@ -169,6 +182,11 @@
     return inFlight_ < std::floor(controller_.Limit());
   }
 
+  [[nodiscard]] bool MayStartNow(TimePoint aNow) const
+  {
+    return queue_.Size() == 0 && CanStart(aNow);
+  }
+
   [[nodiscard]] bool CanStart(TimePoint aNow) const { return HasSlot() && slowStart_.Allows(aNow); }
 
   [[nodiscard]] Duration ExpectedWait(std::uint32_t aRank, TimePoint aNow) const
--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -154,12 +154,7 @@
   {
     while (!calls_.empty()) {
       auto& call = calls_.begin()->second;
-      const bool sent = call.stage_ == EntryStage::AtOwner;
-      if (sent) {
-        CancelAttempts(call);
-      }
-      Finish(call,
-             Answer::WithoutContent(sent ? Outcome::Unknown : Outcome::NotRun, Reason::Draining));
+      Finish(call, Answer::WithoutContent(CancelAttempts(call), Reason::Draining));
     }
   }
 
@@ -171,11 +166,8 @@
       return;
     }
     auto& call = found->second;
-    if (call.stage_ == EntryStage::AtOwner) {
-      CancelAttempts(call);
-    }
     context_.GetMetrics().Count("calls_cancelled");
-    const auto outcome = call.stage_ == EntryStage::AtOwner ? Outcome::Unknown : Outcome::NotRun;
+    const auto outcome = CancelAttempts(call);
     WriteEnd(call.call_, Answer::WithoutContent(outcome, Reason::Cancelled), &call);
     Remove(found);
   }
@@ -203,6 +195,7 @@
     }
     found->second.queueTime_ = aReply.queueTime_;
     found->second.instanceTime_ = aReply.instanceTime_;
+    WithdrawBody(found->second); // an owner that refused does not grant it
     if (aReply.answer_.outcome_ == Outcome::Answered) {
       const auto& call = found->second;
       loadTable_.OnServed(call.owner_, call.decision_.route_.name_, aReply.instanceTime_);
@@ -212,6 +205,18 @@
     OnAttemptEnd(found->second, aReply.answer_);
   }
 
+  /// \brief Returns true if the reply to an attempt is awaited.
+  [[nodiscard]] bool AwaitsReply(const AttemptId& aId) const
+  {
+    const auto found = calls_.find(aId.call_);
+    if (found == calls_.end() || found->second.stage_ != EntryStage::AtOwner) {
+      return false;
+    }
+    const auto& call = found->second;
+    return call.attempt_ == aId.attempt_ ||
+           (call.superseded_ && call.superseded_->number_ == aId.attempt_);
+  }
+
   /// \brief Starts or refuses requests that wait for a token of the team, the oldest first.
   void OnTokens(const std::string& aTeam)
   {
@@ -465,26 +470,27 @@
     loadTable_.OnSent(chosen->node_);
     aCall.sentAt_ = now;
     failureDetector_.ScheduleCheck(call.id_, now + OwnerTimeoutsFor(aCall).probeDelay_);
-    context_.Send(chosen->node_,
-                  CallRequest{ .id_ = call.id_,
-                               .attempt_ = aCall.attempt_,
-                               .requestId_ = call.requestId_,
-                               .route_ = aCall.decision_.route_.name_,
-                               .service_ = aCall.service_,
-                               .rank_ = ComputeRank(aCall.decision_),
-                               .team_ = aCall.decision_.team_,
-                               .keyDigest_ = aCall.decision_.keyDigest_,
-                               .method_ = call.method_,
-                               .host_ = call.host_,
-                               .path_ = call.path_,
-                               .headers_ = call.headers_,
-                               .body_ = call.body_,
-                               .idempotencyKey_ = call.idempotencyKey_,
-                               .remaining_ = remaining,
-                               .queueTimeout_ = ComputeQueueTimeout(aCall.decision_.route_,
-                                                                    HasTeams(aCall.decision_),
-                                                                    now - call.arrivedAt_,
-                                                                    remaining) });
+    context_.SendOrOffer(
+      chosen->node_,
+      CallRequest{
+        .id_ = call.id_,
+        .attempt_ = aCall.attempt_,
+        .requestId_ = call.requestId_,
+        .route_ = aCall.decision_.route_.name_,
+        .service_ = aCall.service_,
+        .rank_ = ComputeRank(aCall.decision_),
+        .team_ = aCall.decision_.team_,
+        .keyDigest_ = aCall.decision_.keyDigest_,
+        .method_ = call.method_,
+        .host_ = call.host_,
+        .path_ = call.path_,
+        .headers_ = call.headers_,
+        .body_ = call.body_,
+        .idempotencyKey_ = call.idempotencyKey_,
+        .remaining_ = remaining,
+        .queueTimeout_ = ComputeQueueTimeout(
+          aCall.decision_.route_, HasTeams(aCall.decision_), now - call.arrivedAt_, remaining) },
+      TimePoint::max());
   }
 
   /// Instances change more often than routes, so the current snapshot is used, not the decision's.
@@ -631,9 +637,8 @@
       if (noContact) {
         loadTable_.ExcludeTemporarily(aCall.owner_, context_.Now());
       }
-      CancelAttempts(aCall);
       const auto reason = noContact ? Reason::PeerSilent : Reason::DeadlinePassed;
-      Finish(aCall, Answer::WithoutContent(Outcome::Unknown, reason));
+      Finish(aCall, Answer::WithoutContent(CancelAttempts(aCall), reason));
     }
   }
 
@@ -689,6 +694,11 @@
                      .With("owner", aCall.owner_.Text())
                      .With("call", ToString(aCall.call_.id_))
                      .With("request", aCall.call_.requestId_));
+    if (!aCall.superseded_ && WithdrawBody(aCall)) {
+      context_.Send(aCall.owner_, CallCancel{ aCall.call_.id_, aCall.attempt_ });
+      OnAttemptEnd(aCall, Answer::WithoutContent(Outcome::NotRun, Reason::PeerSilent));
+      return;
+    }
     const auto answer = Answer::WithoutContent(Outcome::Unknown, Reason::PeerSilent);
     const auto& route = aCall.decision_.route_;
     auto instances = aCall.instances_;
@@ -718,14 +728,28 @@
     Finish(aCall, answer);
   }
 
-  void CancelAttempts(EntryCall& aCall)
+  /// Cancels the attempts of a request at their owners, if there are any.
+  /// \returns NotRun if no owner got the request with its body, else Unknown.
+  Outcome CancelAttempts(EntryCall& aCall)
   {
+    if (aCall.stage_ != EntryStage::AtOwner) {
+      return Outcome::NotRun;
+    }
     const auto& id = aCall.call_.id_;
     context_.Send(aCall.owner_, CallCancel{ id, aCall.attempt_ });
+    const bool isWithheld = WithdrawBody(aCall) && !aCall.superseded_;
     if (aCall.superseded_) {
       context_.Send(aCall.superseded_->owner_, CallCancel{ id, aCall.superseded_->number_ });
       aCall.superseded_.reset();
     }
+    return isWithheld ? Outcome::NotRun : Outcome::Unknown;
+  }
+
+  /// Stops the last attempt from sending its body.
+  /// \returns True if the body was not sent, so that the attempt cannot run.
+  bool WithdrawBody(const EntryCall& aCall)
+  {
+    return context_.Bodies().Withdraw({ { aCall.call_.id_, aCall.attempt_ }, false });
   }
 
   /// Waits for the superseded attempt again.
@@ -839,6 +863,7 @@
   {
     const auto id = aCall->first;
     StopWaiting(aCall->second);
+    WithdrawBody(aCall->second);
     failureDetector_.CancelCheck(id);
     hedging_.Cancel(id);
     deadlines_.erase({ aCall->second.deadline_, id });
--- a/include/geraniumpin/process/link_traffic.hpp
+++ b/include/geraniumpin/process/link_traffic.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/connection/message.hpp"
 #include "geraniumpin/process/clock.hpp"
 #include "geraniumpin/process/log_event.hpp"
+#include "geraniumpin/process/receive_window.hpp"
 
 #include <array>
 #include <compare>
@@ -60,8 +61,9 @@
 };
 
 /// \brief Makes the log event of a report.
+/// \param aWindow State of the receive window at its end.
 [[nodiscard]] LogEvent
-MakeTrafficEvent(const TrafficReport& aReport);
+MakeTrafficEvent(const TrafficReport& aReport, const WindowState& aWindow);
 
 /// \brief Sums up what arrives over the links of a node, for one report a period.
 ///
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -7,6 +7,7 @@
 #include "geraniumpin/process/link_traffic.hpp"
 #include "geraniumpin/process/node_saturation.hpp"
 #include "geraniumpin/process/node_status.hpp"
+#include "geraniumpin/process/offer_service.hpp"
 #include "geraniumpin/process/owner_service.hpp"
 #include "geraniumpin/process/platform_reader.hpp"
 #include "geraniumpin/process/request_intake.hpp"
@@ -43,6 +44,7 @@
     , reader_(context_, config_)
     , gossip_(context_, config_, reader_)
     , intake_(context_, entry_)
+    , offers_(context_, entry_, owner_)
   {
   }
   Node(const Node&) = delete;
@@ -97,6 +99,7 @@
         aEnvelope.sender_, aEnvelope.senderIncarnation_, aEnvelope.sentAt_, context_.Now());
       measured_.wait_ = std::max(measured_.wait_, excessDelay_);
       RecordTraffic(aEnvelope.payload_);
+      context_.Bodies().OnPeer(aEnvelope.sender_, aEnvelope.offerMinBytes_);
       if (context_.Links().OnMessage(aEnvelope, context_.Now())) {
         context_.ReplaceConnection(aEnvelope.sender_);
       }
@@ -142,6 +145,7 @@
     limits_.OnTimer();
     entry_.OnTimer();
     owner_.OnTimer();
+    offers_.OnTimer();
     DeliverLocalMessages();
     MaintainLinks();
     // New requests come last: responses and the next steps of started work precede them.
@@ -186,6 +190,8 @@
                               limits_.NextDeadline(),
                               entry_.NextDeadline(),
                               owner_.NextDeadline(),
+                              offers_.NextDeadline(),
+                              context_.Bodies().NextDeadline(),
                               unorderedOffers_.NextDeadline() }) {
       next = time ? std::min(next, *time) : next;
     }
@@ -203,6 +209,7 @@
   {
     context_.GetMembership().BeginLeaving();
     gossip_.AnnounceLeaving();
+    offers_.RefuseWaiting(Reason::Draining);
     context_.Write(LogEvent("drain_begin")
                      .With("entry_calls", entry_.InFlight())
                      .With("owned_attempts", owner_.InFlight()));
@@ -218,12 +225,16 @@
     intake_.EndPending();
     entry_.EndPending();
     DeliverLocalMessages();
+    for (const auto& reply : context_.Bodies().TakeReplies()) {
+      context_.Send(reply.peer_, reply.payload_);
+    }
   }
 
   /// \brief Returns true if no request is in flight, so that a planned stop can end.
   [[nodiscard]] bool IsIdle() const noexcept
   {
-    return intake_.Held() == 0 && entry_.InFlight() == 0 && owner_.InFlight() == 0;
+    return intake_.Held() == 0 && entry_.InFlight() == 0 && owner_.InFlight() == 0 &&
+           offers_.IsIdle() && !context_.Bodies().HoldsReplies();
   }
 
   /// \brief Returns true if the node serves all routes: its configuration is confirmed and recent,
@@ -301,14 +312,29 @@
   void Handle(const Envelope& aEnvelope, const CallRequest& aPayload)
   {
     owner_.OnRequest(aEnvelope, aPayload, excessDelay_);
+    offers_.OnTransferEnd({ { aPayload.id_, aPayload.attempt_ }, false });
   }
   void Handle(const Envelope& aEnvelope, const CallReply& aPayload)
   {
     entry_.OnReply(aEnvelope, aPayload);
+    offers_.OnTransferEnd({ { aPayload.id_, aPayload.attempt_ }, true });
   }
   void Handle(const Envelope& /*aEnvelope*/, const CallCancel& aPayload)
   {
     owner_.OnCancel(aPayload);
+    offers_.OnTransferEnd({ { aPayload.id_, aPayload.attempt_ }, false });
+  }
+  void Handle(const Envelope& aEnvelope, const CallOffer& aPayload)
+  {
+    offers_.OnCallOffer(aEnvelope, aPayload, excessDelay_);
+  }
+  void Handle(const Envelope& aEnvelope, const ReplyOffer& aPayload)
+  {
+    offers_.OnReplyOffer(aEnvelope, aPayload);
+  }
+  void Handle(const Envelope& aEnvelope, const BodyGrant& aPayload)
+  {
+    context_.Bodies().OnGrant(aEnvelope.sender_, aPayload);
   }
   void Handle(const Envelope& aEnvelope, const VersionPull& aPayload)
   {
@@ -347,7 +373,7 @@
     context_.GetMetrics().Record(
       "delay_" + std::string(ToString(FindTrafficKind(aPayload))) + "_ms", excessDelay_);
     if (report) {
-      context_.Write(MakeTrafficEvent(*report));
+      context_.Write(MakeTrafficEvent(*report, offers_.State()));
     }
   }
 
@@ -410,6 +436,7 @@
     while (auto envelope = context_.PopLocalMessage()) {
       std::visit([&](const auto& aPayload) { Handle(*envelope, aPayload); }, envelope->payload_);
     }
+    context_.SendReadyBodies();
   }
 
   [[nodiscard]] NodeState ComputeState() const
@@ -434,10 +461,11 @@
   GossipService<PortSet> gossip_;
   UnorderedOffers unorderedOffers_;
   RequestIntake<PortSet> intake_; ///< empty without overload control
-  NodeSaturation saturation_;     ///< zero without overload control
-  SaturationInputs measured_;     ///< in the turn in progress
-  LoopTurn turn_;                 ///< in progress
-  TimePoint turnStartedAt_{};     ///< first event of the turn in progress; zero before it
+  OfferService<PortSet> offers_;
+  NodeSaturation saturation_; ///< zero without overload control
+  SaturationInputs measured_; ///< in the turn in progress
+  LoopTurn turn_;             ///< in progress
+  TimePoint turnStartedAt_{}; ///< first event of the turn in progress; zero before it
   TurnMonitor turnMonitor_;
   LinkDelay linkDelay_;
   LinkTraffic linkTraffic_;
--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "geraniumpin/connection/body_holder.hpp"
 #include "geraniumpin/connection/link_monitor.hpp"
 #include "geraniumpin/process/membership.hpp"
 #include "geraniumpin/process/node_ports.hpp"
@@ -24,6 +25,7 @@
     , settings_(std::move(aSettings))
     , incarnation_(aIncarnation)
     , membership_(settings_.PeerAddress(), settings_.FailureDomainName(), aIncarnation)
+    , bodies_(settings_.Window())
   {
   }
 
@@ -38,6 +40,8 @@
   [[nodiscard]] const Membership& GetMembership() const noexcept { return membership_; }
   [[nodiscard]] LinkMonitor& Links() noexcept { return links_; }
   [[nodiscard]] const LinkMonitor& Links() const noexcept { return links_; }
+  [[nodiscard]] BodyHolder& Bodies() noexcept { return bodies_; }
+  [[nodiscard]] const BodyHolder& Bodies() const noexcept { return bodies_; }
   [[nodiscard]] Metrics& GetMetrics() noexcept { return metrics_; }
   [[nodiscard]] const Metrics& GetMetrics() const noexcept { return metrics_; }
 
@@ -55,6 +59,7 @@
                        .link_ = aPeer == Self()
                                   ? std::nullopt
                                   : std::optional(links_.OnSend(aPeer, aPayload, now)),
+                       .offerMinBytes_ = settings_.Window().OfferMinBytes(),
                        .payload_ = aPayload };
     if (aPeer == Self()) {
       localMessages_.push_back(std::move(envelope));
@@ -63,6 +68,23 @@
     }
   }
 
+  /// \brief Sends a CallRequest or CallReply; if the peer wants its body offered, sends an offer
+  /// and holds the message. \param aExpiresAt As in BodyHolder::Hold.
+  void SendOrOffer(const NodeAddress& aPeer, const Payload& aMessage, TimePoint aExpiresAt)
+  {
+    const auto offer =
+      aPeer == Self() ? std::nullopt : bodies_.Hold(aPeer, aMessage, aExpiresAt, Now());
+    Send(aPeer, offer ? *offer : aMessage);
+  }
+
+  /// \brief Sends the bodies that were granted and that the own link may take.
+  void SendReadyBodies()
+  {
+    for (const auto& message : bodies_.TakeReady(Now())) {
+      Send(message.peer_, message.payload_);
+    }
+  }
+
   /// \brief Replaces the connection to a peer.
   void ReplaceConnection(const NodeAddress& aPeer)
   {
@@ -121,6 +143,7 @@
   VersionStore versions_;
   Membership membership_;
   LinkMonitor links_;
+  BodyHolder bodies_;
   Metrics metrics_;
   std::deque<Envelope> localMessages_;
 };
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -106,7 +106,7 @@
   void OnRequest(const Envelope& aEnvelope, const CallRequest& aRequest, Duration aDelay)
   {
     const AttemptId id{ aRequest.id_, aRequest.attempt_ };
-    if (attempts_.contains(id) || finished_.contains(id)) {
+    if (IsKnown(id)) {
       context_.GetMetrics().Count("repeated_attempts");
       return;
     }
@@ -123,10 +123,39 @@
     Admit(id, aEnvelope.sender_, aRequest, aDelay);
   }
 
+  /// \brief Returns why a request that is offered would be refused if its body arrived now; nothing
+  /// if it would start or be queued.
+  [[nodiscard]] std::optional<Reason> FindRefusal(const Envelope& aEnvelope,
+                                                  const CallRequest& aRequest,
+                                                  Duration aDelay) const
+  {
+    if (const auto refusal = Check(aEnvelope, aRequest, aDelay)) {
+      return refusal;
+    }
+    const AttemptId id{ aRequest.id_, aRequest.attempt_ };
+    return admission_.FindRefusal(MakeWork(id, aRequest, false, aDelay), context_.Now());
+  }
+
+  /// \brief Refuses a request that was offered, as not run.
+  void RefuseOffer(const NodeAddress& aEntry, const CallRequest& aRequest, const Answer& aAnswer)
+  {
+    const AttemptId id{ aRequest.id_, aRequest.attempt_ };
+    room_.Record(aRequest.rank_, false, context_.Now());
+    WriteRefusal(id, aRequest, aAnswer.reason_, {});
+    Reply(aEntry, id, aRequest.route_, aAnswer);
+  }
+
+  /// \brief Returns true if an attempt is queued, runs or ended a short time ago.
+  [[nodiscard]] bool IsKnown(const AttemptId& aId) const
+  {
+    return attempts_.contains(aId) || finished_.contains(aId);
+  }
+
   /// \brief Cancels a queued or running attempt.
   void OnCancel(const CallCancel& aCancel)
   {
     const AttemptId id{ aCancel.id_, aCancel.attempt_ };
+    context_.Bodies().Withdraw({ id, true });
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) {
       RecordFinished(id); // the request may arrive after its cancellation
@@ -202,6 +231,13 @@
     return next;
   }
 
+  /// \brief Returns the expected time of a request at the instance; 0 if unknown.
+  [[nodiscard]] Duration ExpectedServiceTime(const std::string& aRoute) const
+  {
+    const auto found = serviceTimes_.find(aRoute);
+    return found == serviceTimes_.end() ? admission_.ServiceTime() : found->second;
+  }
+
   /// \brief Sets the saturation of this node that replies state.
   void SetSaturation(double aLevel) noexcept { saturation_ = aLevel; }
 
@@ -362,24 +398,14 @@
              Duration aDelay)
   {
     const auto now = context_.Now();
-    const auto deadline = now + aRequest.remaining_ - aDelay;
-    const bool isCall = IsCallWithoutTeams(aEntry, aRequest);
-    const auto rank = isCall ? 0 : aRequest.rank_;
-    const auto stated =
-      isCall ? std::max(aRequest.queueTimeout_, ComputeCallQueueTimeout(aRequest.remaining_))
-             : aRequest.queueTimeout_;
-    const auto queueTimeout = std::max(Duration{}, stated - aDelay);
-    const QueuedWork<AttemptId> work{
-      aId,      aRequest.team_, ExpectedServiceTime(aRequest.route_),
-      deadline, rank,           std::min(deadline, now + queueTimeout)
-    };
+    const auto work = MakeWork(aId, aRequest, IsCallWithoutTeams(aEntry, aRequest), aDelay);
     const auto admitted = HasLinkCapacity(aRequest, aDelay)
                             ? admission_.Admit(work, now)
                             : tl::make_unexpected(Reason::Overloaded);
     WriteAdmission(aId, aRequest, admitted, aDelay);
-    room_.Record(rank, admitted.has_value(), now);
+    room_.Record(work.rank_, admitted.has_value(), now);
     if (!admitted) {
-      const auto retryAfter = admission_.RetryAfter(rank, now);
+      const auto retryAfter = admission_.RetryAfter(work.rank_, now);
       Reply(aEntry,
             aId,
             aRequest.route_,
@@ -392,6 +418,23 @@
     }
   }
 
+  /// \param aIsCall True for a call of a backend server, which ranks first and may wait longer.
+  [[nodiscard]] QueuedWork<AttemptId> MakeWork(const AttemptId& aId,
+                                               const CallRequest& aRequest,
+                                               bool aIsCall,
+                                               Duration aDelay) const
+  {
+    const auto now = context_.Now();
+    const auto deadline = now + aRequest.remaining_ - aDelay;
+    const auto rank = aIsCall ? 0 : aRequest.rank_;
+    const auto stated =
+      aIsCall ? std::max(aRequest.queueTimeout_, ComputeCallQueueTimeout(aRequest.remaining_))
+              : aRequest.queueTimeout_;
+    const auto queueTimeout = std::max(Duration{}, stated - aDelay);
+    return { aId,      aRequest.team_, ExpectedServiceTime(aRequest.route_),
+             deadline, rank,           std::min(deadline, now + queueTimeout) };
+  }
+
   [[nodiscard]] bool HasLinkCapacity(const CallRequest& aRequest, Duration aDelay) const
   {
     const auto& settings = context_.NodeSettings();
@@ -478,6 +521,7 @@
     const auto found = attempts_.find(aId);
     const auto entry = found->second.entry_;
     const auto route = found->second.request_.route_;
+    const auto deadline = found->second.deadline_;
     const auto now = context_.Now();
     const bool started = found->second.startedAt_ != TimePoint{};
     const auto leftQueueAt = started ? found->second.startedAt_ : now;
@@ -492,28 +536,30 @@
     running_.erase({ found->second.deadline_, aId });
     tokens_.Revoke(aId);
     attempts_.erase(found);
-    Reply(entry, aId, route, aAnswer, queued, ran);
+    Reply(entry, aId, route, aAnswer, deadline, queued, ran);
   }
 
   void Reply(const NodeAddress& aEntry,
              const AttemptId& aId,
              const std::string& aRoute,
              const Answer& aAnswer,
+             TimePoint aDeadline = {},
              Duration aQueued = {},
              Duration aRan = {})
   {
     RecordFinished(aId);
     const bool acceptsWork = inService_ && instance_.AcceptsWork() && !replacedUntil_ &&
                              !context_.GetMembership().IsLeaving();
-    context_.Send(aEntry,
-                  CallReply{ .id_ = aId.call_,
-                             .attempt_ = aId.attempt_,
-                             .answer_ = aAnswer,
-                             .loadReport_ = { ComputeLoad(), acceptsWork, saturation_ },
-                             .queueTime_ = aQueued,
-                             .instanceTime_ = aRan,
-                             .room_ = StateRoom(),
-                             .isCallRoute_ = callRoutes_.IsCallRoute(aRoute) });
+    context_.SendOrOffer(aEntry,
+                         CallReply{ .id_ = aId.call_,
+                                    .attempt_ = aId.attempt_,
+                                    .answer_ = aAnswer,
+                                    .loadReport_ = { ComputeLoad(), acceptsWork, saturation_ },
+                                    .queueTime_ = aQueued,
+                                    .instanceTime_ = aRan,
+                                    .room_ = StateRoom(),
+                                    .isCallRoute_ = callRoutes_.IsCallRoute(aRoute) },
+                         aDeadline);
   }
 
   [[nodiscard]] std::optional<OwnerRoom> StateRoom() const
@@ -603,12 +649,6 @@
                      .With("remaining_us", Microseconds(attempt.deadline_ - now)));
   }
 
-  [[nodiscard]] Duration ExpectedServiceTime(const std::string& aRoute) const
-  {
-    const auto found = serviceTimes_.find(aRoute);
-    return found == serviceTimes_.end() ? admission_.ServiceTime() : found->second;
-  }
-
   [[nodiscard]] static WorkResult ClassifyEnd(const BackendCompletion& aEnd) noexcept
   {
     if (aEnd.result_ == BackendResult::OtherInstance) {
--- a/include/geraniumpin/process/settings.hpp
+++ b/include/geraniumpin/process/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/connection/holding_connection.hpp"
+#include "geraniumpin/connection/link_window.hpp"
 #include "geraniumpin/connection/request_pipeline.hpp"
 #include "geraniumpin/request/retry_policy.hpp"
 #include "geraniumpin/version/fault.hpp"
@@ -122,6 +123,11 @@
   [[nodiscard]] bool OverloadControl() const noexcept { return overloadControl_; }
   /// \brief Limits of the machine, as the platform states them.
   [[nodiscard]] const MachineLimits& Machine() const noexcept { return machine_; }
+  /// \brief Bound of the bodies under way on the link of this machine.
+  [[nodiscard]] LinkWindow Window() const noexcept
+  {
+    return { .bitsPerSecond_ = machine_.linkBitsPerSecond_, .window_ = receiveWindow_ };
+  }
   /// \brief Longest time that a planned stop waits for running requests.
   [[nodiscard]] std::chrono::milliseconds DrainTimeout() const noexcept { return drainTimeout_; }
 
@@ -165,8 +171,10 @@
   bool fleetAdmission_ = false;
   double hedgeRatio_ = 0;
   bool overloadControl_ = false;
+  std::chrono::milliseconds receiveWindow_ = kDefaultReceiveWindow;
 
   static constexpr std::size_t kDefaultMaxBodyBytes = 8U << 20U;
+  static constexpr std::chrono::milliseconds kDefaultReceiveWindow{ 100 };
   static constexpr std::chrono::milliseconds kDefaultDrainTimeout{ 30000 };
   static constexpr std::chrono::milliseconds kDefaultApplyBound{ 2000 };
   static constexpr std::chrono::milliseconds kDefaultContactBound{ 3000 };
@@ -228,6 +236,7 @@
   SettingsBuilder& FleetAdmission(bool aIsEnabled);
   SettingsBuilder& HedgeRatio(double aRatio);
   SettingsBuilder& OverloadControl(bool aEnabled);
+  SettingsBuilder& ReceiveWindowTime(std::chrono::milliseconds aWindow);
 
   /// \returns The settings, or all faults that were found.
   [[nodiscard]] tl::expected<Settings, Faults> Build() const;
--- a/src/adapters/connection/peer_codec.cpp
+++ b/src/adapters/connection/peer_codec.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t kTagBytes = 32;
+// Far above any body, so that sums of offered sizes do not overflow.
+constexpr std::uint64_t kMaxOfferedBytes = std::uint64_t{ 1 } << 40U;
 
 Duration
 FromMicroseconds(std::int64_t aValue) noexcept
@@ -97,33 +99,38 @@
 }
 
 void
-Write(const CallRequest& aFrom, wire::Envelope& aEnvelope, bool aHasBody)
-{
-  auto& to = *aEnvelope.mutable_call_request();
-  Write(aFrom.id_, *to.mutable_id());
-  to.set_attempt(aFrom.attempt_);
-  to.set_request_id(aFrom.requestId_);
-  to.set_route(aFrom.route_);
-  to.set_service(aFrom.service_);
-  to.set_rank(aFrom.rank_);
-  to.set_team(aFrom.team_);
-  to.set_key_digest(EncodeDigest(aFrom.keyDigest_));
-  to.set_method(aFrom.method_);
-  to.set_host(aFrom.host_);
-  to.set_path(aFrom.path_);
-  WriteHeaders(aFrom.headers_, to.mutable_headers());
+WriteRequest(const CallRequest& aFrom, wire::CallRequest& aTo, bool aHasBody)
+{
+  Write(aFrom.id_, *aTo.mutable_id());
+  aTo.set_attempt(aFrom.attempt_);
+  aTo.set_request_id(aFrom.requestId_);
+  aTo.set_route(aFrom.route_);
+  aTo.set_service(aFrom.service_);
+  aTo.set_rank(aFrom.rank_);
+  aTo.set_team(aFrom.team_);
+  aTo.set_key_digest(EncodeDigest(aFrom.keyDigest_));
+  aTo.set_method(aFrom.method_);
+  aTo.set_host(aFrom.host_);
+  aTo.set_path(aFrom.path_);
+  WriteHeaders(aFrom.headers_, aTo.mutable_headers());
   if (aHasBody && aFrom.body_) {
-    to.set_body(*aFrom.body_);
+    aTo.set_body(*aFrom.body_);
   }
-  to.set_idempotency_key(aFrom.idempotencyKey_);
-  to.set_remaining_us(Microseconds(aFrom.remaining_));
-  to.set_patience_us(Microseconds(aFrom.queueTimeout_));
-  to.set_caller(aFrom.caller_);
-  to.set_returned_early(aFrom.returnedEarly_);
-  to.set_is_repeat(aFrom.isRepeat_);
+  aTo.set_idempotency_key(aFrom.idempotencyKey_);
+  aTo.set_remaining_us(Microseconds(aFrom.remaining_));
+  aTo.set_patience_us(Microseconds(aFrom.queueTimeout_));
+  aTo.set_caller(aFrom.caller_);
+  aTo.set_returned_early(aFrom.returnedEarly_);
+  aTo.set_is_repeat(aFrom.isRepeat_);
 }
 
-Payload
+void
+Write(const CallRequest& aFrom, wire::Envelope& aEnvelope, bool aHasBody)
+{
+  WriteRequest(aFrom, *aEnvelope.mutable_call_request(), aHasBody);
+}
+
+CallRequest
 Read(const wire::CallRequest& aFrom, const Body& aDetachedBody)
 {
   return CallRequest{ .id_ = Read(aFrom.id()),
@@ -262,6 +269,57 @@
   return CallCancel{ Read(aFrom.id()), aFrom.attempt() };
 }
 
+void
+Write(const CallOffer& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_call_offer();
+  WriteRequest(aFrom.request_, *to.mutable_request(), false);
+  to.set_body_bytes(aFrom.bodyBytes_);
+}
+
+std::optional<Payload>
+Read(const wire::CallOffer& aFrom)
+{
+  if (aFrom.body_bytes() > kMaxOfferedBytes) {
+    return std::nullopt;
+  }
+  const auto request = Read(aFrom.request(), nullptr);
+  return CallOffer{ WithBody(request, nullptr, request.remaining_), aFrom.body_bytes() };
+}
+
+void
+Write(const ReplyOffer& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_reply_offer();
+  Write(aFrom.id_.call_, *to.mutable_id());
+  to.set_attempt(aFrom.id_.attempt_);
+  to.set_body_bytes(aFrom.bodyBytes_);
+}
+
+std::optional<Payload>
+Read(const wire::ReplyOffer& aFrom)
+{
+  if (aFrom.body_bytes() > kMaxOfferedBytes) {
+    return std::nullopt;
+  }
+  return ReplyOffer{ { Read(aFrom.id()), aFrom.attempt() }, aFrom.body_bytes() };
+}
+
+void
+Write(const BodyGrant& aFrom, wire::Envelope& aEnvelope)
+{
+  auto& to = *aEnvelope.mutable_body_grant();
+  Write(aFrom.id_.attempt_.call_, *to.mutable_id());
+  to.set_attempt(aFrom.id_.attempt_.attempt_);
+  to.set_reply(aFrom.id_.isReply_);
+}
+
+Payload
+Read(const wire::BodyGrant& aFrom)
+{
+  return BodyGrant{ { { Read(aFrom.id()), aFrom.attempt() }, aFrom.reply() } };
+}
+
 void
 Write(const VersionPull& aFrom, wire::Envelope& aEnvelope)
 {
@@ -474,6 +532,12 @@
       return Read(aFrom.home_confirm());
     case wire::Envelope::kLinkAck:
       return LinkAck{};
+    case wire::Envelope::kCallOffer:
+      return Read(aFrom.call_offer());
+    case wire::Envelope::kReplyOffer:
+      return Read(aFrom.reply_offer());
+    case wire::Envelope::kBodyGrant:
+      return Read(aFrom.body_grant());
     case wire::Envelope::PAYLOAD_NOT_SET:
       break;
   }
@@ -521,6 +585,7 @@
     },
     aEnvelope.payload_);
   message.set_accepts_frames(true);
+  message.set_offer_min_bytes(aEnvelope.offerMinBytes_);
   message.AppendToString(&aBytes);
 }
 
@@ -550,6 +615,7 @@
                                          .senderVersion_ = impl::Read(message.announced()),
                                          .sentAt_ = impl::FromMicroseconds(message.sent_at_us()),
                                          .link_ = impl::ReadLink(message),
+                                         .offerMinBytes_ = message.offer_min_bytes(),
                                          .payload_ = std::move(*payload) },
                           .acceptsFrames_ = message.accepts_frames() };
 }
--- a/src/adapters/process/settings_json.cpp
+++ b/src/adapters/process/settings_json.cpp
@@ -48,6 +48,7 @@
     "memory_mb": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "max_descriptors": { "type": "integer", "minimum": 0, "maximum": 1048576 },
     "link_mbps": { "type": "number", "minimum": 0, "maximum": 1000000 },
+    "receive_window_ms": { "type": "integer", "minimum": 0, "maximum": 10000 },
     "processor_share": { "type": "number", "minimum": 0, "maximum": 1024 },
     "drain_timeout_ms": { "type": "integer", "minimum": 0, "maximum": 600000 }
   }
@@ -137,6 +138,9 @@
   if (aRoot.contains("drain_timeout_ms")) {
     builder.DrainTimeout(std::chrono::milliseconds(aRoot.at("drain_timeout_ms")));
   }
+  if (aRoot.contains("receive_window_ms")) {
+    builder.ReceiveWindowTime(std::chrono::milliseconds(aRoot.at("receive_window_ms")));
+  }
   if (aRoot.contains("apply_bound_ms")) {
     builder.ApplyBound(std::chrono::milliseconds(aRoot.at("apply_bound_ms")));
   }
--- a/src/process/link_traffic.cpp
+++ b/src/process/link_traffic.cpp
@@ -55,7 +55,7 @@
 }
 
 LogEvent
-MakeTrafficEvent(const TrafficReport& aReport)
+MakeTrafficEvent(const TrafficReport& aReport, const WindowState& aWindow)
 {
   LogEvent event("link_traffic");
   event.With("period_ms", Milliseconds(aReport.period_));
@@ -68,6 +68,11 @@
         .With(kind + "_delay_us", Microseconds(traffic.longestDelay_));
     }
   }
+  event.With("granted_bytes", aWindow.grantedBytes_)
+    .With("granted_us", Microseconds(aWindow.oldestGranted_))
+    .With("waiting_bytes", aWindow.waitingBytes_)
+    .With("waiting_us", Microseconds(aWindow.oldestWaiting_))
+    .With("grants_lost", aWindow.lost_);
   return event;
 }
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -238,6 +238,13 @@
   return *this;
 }
 
+SettingsBuilder&
+SettingsBuilder::ReceiveWindowTime(std::chrono::milliseconds aWindow)
+{
+  settings_.receiveWindow_ = aWindow;
+  return *this;
+}
+
 tl::expected<Settings, Faults>
 SettingsBuilder::Build() const
 {
--- a/tests/connection/peer_codec_test.cpp
+++ b/tests/connection/peer_codec_test.cpp
@@ -54,7 +54,10 @@
            LeaseGrant{ "t", 1, 2, milliseconds(3), milliseconds(4) },
            TakeoverRequest{ 1 },
            TakeoverConfirmation{ 2, { NodeAt(1, 3) } },
-           LinkAck{} };
+           LinkAck{},
+           CallOffer{ { .id_ = { 1, 2 }, .attempt_ = 3, .route_ = "r", .rank_ = 4 }, 60'000 },
+           ReplyOffer{ { { 1, 2 }, 3 }, 60'000 },
+           BodyGrant{ { { { 1, 2 }, 3 }, true } } };
 }
 
 } // namespace
@@ -110,6 +113,24 @@
   BOOST_TEST(!DecodeEnvelope(EncodeEnvelope(Wrap(LinkAck{})))->link_);
 }
 
+BOOST_AUTO_TEST_CASE(an_offer_is_read_back_and_its_size_is_bounded)
+{
+  const Envelope sent{ .sender_ = NodeAt(1, 1),
+                       .offerMinBytes_ = 16'384,
+                       .payload_ = CallOffer{ { .route_ = "r", .rank_ = 4 }, 60'000 } };
+  const auto read = DecodeEnvelope(EncodeEnvelope(sent));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read->offerMinBytes_ == 16'384U);
+  const auto& offer = std::get<CallOffer>(read->payload_);
+  BOOST_TEST(offer.bodyBytes_ == 60'000U);
+  BOOST_TEST(offer.request_.rank_ == 4U);
+  BOOST_TEST((offer.request_.body_ == nullptr));
+  BOOST_TEST(DecodeEnvelope(EncodeEnvelope(Wrap(LinkAck{})))->offerMinBytes_ == 0U);
+  const std::uint64_t tooLarge = std::uint64_t{ 1 } << 41U;
+  BOOST_TEST(!DecodeEnvelope(EncodeEnvelope(Wrap(CallOffer{ {}, tooLarge }))));
+  BOOST_TEST(!DecodeEnvelope(EncodeEnvelope(Wrap(ReplyOffer{ {}, tooLarge }))));
+}
+
 // A node of an earlier release refuses frames, and its messages do not have the field.
 BOOST_AUTO_TEST_CASE(a_message_states_that_its_sender_accepts_frames)
 {
--- a/tests/process/link_overload_test.cpp
+++ b/tests/process/link_overload_test.cpp
@@ -53,13 +53,19 @@
   }
 };
 
-std::vector<NodeAddress>
-StartNarrowReceiver(FakeMesh& aMesh)
+void
+UseNarrowLinks(FakeMesh& aMesh)
 {
   aMesh.linkBitsPerSecond_[kReceiver] = kLinkBitsPerSecond;
   aMesh.configure_ = [](SettingsBuilder& aBuilder) {
     aBuilder.Machine({ .linkBitsPerSecond_ = kLinkBitsPerSecond });
   };
+}
+
+std::vector<NodeAddress>
+StartNarrowReceiver(FakeMesh& aMesh)
+{
+  UseNarrowLinks(aMesh);
   auto nodes = StartAll(aMesh, kSize);
   aMesh.Publish(Encode(MakeUploadDocument(2)));
   aMesh.Run(kApplyBound);
@@ -99,6 +105,27 @@
   return load;
 }
 
+/// Checks that each request ended, ran once at most, and did not run if its outcome is NotRun.
+void
+ExpectHonestOutcomes(const FakeMesh& aMesh, const std::vector<CallId>& aIds)
+{
+  for (const auto& id : aIds) {
+    BOOST_REQUIRE(aMesh.answers_.contains(id));
+    BOOST_TEST(aMesh.CountRuns(id) <=
+               (aMesh.answers_.at(id).outcome_ == Outcome::NotRun ? 0U : 1U));
+  }
+}
+
+std::vector<CallId>
+SendUploads(FakeMesh& aMesh, const NodeAddress& aNode, int aCount)
+{
+  std::vector<CallId> ids;
+  for (int i = 0; i < aCount; ++i) {
+    ids.push_back(aMesh.Call(aNode, "small", "POST", "/orders/1", std::string(kUploadBytes, 'x')));
+  }
+  return ids;
+}
+
 } // namespace
 
 // Guards against versions that arrive late and calls that fail while the uploads of many nodes
@@ -117,12 +144,96 @@
       BOOST_TEST(load.CountAnswered(mesh, load.calls_) >= load.calls_.size() * 95 / 100);
       const auto capacity = kLinkBitsPerSecond / 8 * kDuration.count() / 1000 / kUploadBytes;
       BOOST_TEST(load.CountAnswered(mesh, load.uploads_) >= capacity * 7 / 10);
-      for (const auto& id : load.uploads_) {
-        BOOST_REQUIRE(mesh.answers_.contains(id));
-        if (mesh.answers_.at(id).outcome_ == Outcome::NotRun) {
-          BOOST_TEST(mesh.CountRuns(id) == 0U);
-        }
-      }
+      ExpectHonestOutcomes(mesh, load.uploads_);
+    }
+  }
+}
+
+// Guards against offers, grants or bodies that are lost, late or repeated and make a request run
+// twice, run after it was refused, or never end.
+BOOST_AUTO_TEST_CASE(uploads_over_faulty_links_end_and_run_at_most_once)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    FakeMesh mesh(seed);
+    const auto nodes = StartNarrowReceiver(mesh);
+    mesh.faults_ = { .lossProbability_ = 0.05,
+                     .duplicationProbability_ = 0.2,
+                     .delayProbability_ = 0.1 };
+    const auto load = RunLoad(mesh, nodes);
+    ExpectHonestOutcomes(mesh, load.uploads_);
+    mesh.faults_ = {};
+    mesh.Run(milliseconds(5000));
+    const auto later = SendUploads(mesh, nodes.back(), 2);
+    mesh.Run(milliseconds(3000));
+    BOOST_TEST(load.CountAnswered(mesh, later) == 2U, "seed " << seed);
+  }
+}
+
+// Guards against an upload that is lost with its owner although its body was never sent: it is
+// known not to have run, so another owner gets it.
+BOOST_AUTO_TEST_CASE(an_upload_that_was_not_granted_goes_to_another_owner_when_its_owner_is_silent)
+{
+  FakeMesh mesh(1);
+  UseNarrowLinks(mesh);
+  const auto nodes = StartAll(mesh, { .domains_ = 1, .nodesPerDomain_ = 3, .rate_ = 0 });
+  mesh.Pause(NodeAt(1, 1));
+  mesh.Pause(NodeAt(1, 2));
+  const auto ids = SendUploads(mesh, NodeAt(1, 3), 5);
+  mesh.Run(milliseconds(900));
+  BOOST_TEST(Load{}.CountAnswered(mesh, ids) == ids.size());
+}
+
+// Guards against uploads that are lost while a release goes out: nodes of the one before know no
+// offers, as entry nodes and as owners.
+BOOST_AUTO_TEST_CASE(uploads_are_answered_beside_nodes_of_an_earlier_release)
+{
+  for (const bool isOwnerEarlier : { false, true }) {
+    FakeMesh mesh(1);
+    UseNarrowLinks(mesh);
+    for (const auto& node : { NodeAt(2, 1), NodeAt(2, 2), NodeAt(2, 3) }) {
+      mesh.earlierNodes_.insert(node);
+    }
+    if (isOwnerEarlier) {
+      mesh.earlierNodes_.insert(kReceiver);
     }
+    const auto nodes = StartNarrowReceiver(mesh);
+    std::vector<CallId> ids;
+    for (const auto& node : nodes) {
+      ids.push_back(SendUploads(mesh, node, 1).front());
+      mesh.Run(milliseconds(200));
+    }
+    mesh.Run(milliseconds(3000));
+    BOOST_TEST(Load{}.CountAnswered(mesh, ids) == ids.size());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_owner_refuses_offers_that_wait_as_not_run)
+{
+  FakeMesh mesh(1);
+  StartNarrowReceiver(mesh);
+  const auto ids = SendUploads(mesh, NodeAt(2, 1), 10);
+  mesh.Run(milliseconds(20));
+  mesh.At(kReceiver).BeginDrain();
+  mesh.Run(milliseconds(1500));
+  BOOST_TEST(mesh.At(kReceiver).IsIdle());
+  ExpectHonestOutcomes(mesh, ids);
+  for (const auto& id : ids) {
+    BOOST_TEST((mesh.answers_.at(id).outcome_ != Outcome::Unknown));
+  }
+}
+
+// Guards against the same queue in the other direction: replies of many owners to one entry node.
+BOOST_AUTO_TEST_CASE(large_replies_of_many_owners_wait_for_the_link_of_their_entry_node)
+{
+  FakeMesh mesh(1);
+  UseNarrowLinks(mesh);
+  StartAll(mesh, kSize);
+  mesh.answerPadding_ = kUploadBytes;
+  std::vector<CallId> ids;
+  for (int i = 0; i < 15; ++i) {
+    ids.push_back(mesh.Call(kReceiver, "", "GET", "/public/1", ""));
   }
+  mesh.Run(milliseconds(1500));
+  BOOST_TEST((mesh.longestLinkQueue_ <= kMaxLinkQueue));
+  BOOST_TEST(Load{}.CountAnswered(mesh, ids) == ids.size());
 }
--- a/tests/support/fake_mesh.hpp
+++ b/tests/support/fake_mesh.hpp
@@ -341,6 +341,7 @@
   /// HTTP status of the answers of the backend server of a node; 200 if empty.
   std::function<int(const NodeAddress&)> getStatus_;
   std::function<void(SettingsBuilder&)> configure_; ///< settings of the nodes; may be empty
+  std::size_t answerPadding_ = 0;                   ///< bytes at the end of an answer
   /// How an exchange with the backend server of a node ends; Answered if empty.
   std::function<BackendResult(const NodeAddress&)> getBackendResult_;
   std::map<CallId, Answer> answers_;
@@ -448,12 +449,22 @@
       }
       At(DrawDelay() + QueueOnLink(aTo, aMessage), [this, aFrom, aTo, aMessage] {
         const bool isMixed = earlierNodes_.contains(aFrom) || earlierNodes_.contains(aTo);
+        if (isMixed && IsUnknownToEarlierRelease(aMessage.payload_)) {
+          return;
+        }
         const auto message = isMixed ? AsOfEarlierRelease(aMessage) : aMessage;
         Deliver(aTo, [this, aTo, message] { At(aTo).OnEnvelope(message); });
       });
     }
   }
 
+  static bool IsUnknownToEarlierRelease(const Payload& aPayload)
+  {
+    return std::holds_alternative<CallOffer>(aPayload) ||
+           std::holds_alternative<ReplyOffer>(aPayload) ||
+           std::holds_alternative<BodyGrant>(aPayload);
+  }
+
   /// Returns what a node of the release before reads and writes of a message.
   static Envelope AsOfEarlierRelease(const Envelope& aMessage)
   {
@@ -555,7 +566,8 @@
                                  .result_ = result,
                                  .status_ = mesh_.getStatus_ ? mesh_.getStatus_(self_) : 200,
                                  .headers_ = {},
-                                 .body_ = MakeBody("answer to " + ToString(id.call_)),
+                                 .body_ = MakeBody("answer to " + ToString(id.call_) +
+                                                   std::string(mesh_.answerPadding_, ' ')),
                                  .detail_ = result == BackendResult::Broken ? "bad status" : "" };
     mesh_.DeliverToIncarnation(*this, [end](auto& aNode) { aNode.OnBackendEnd(end); });
   });
