--- a/tests/scenarios/mesh.lua
+++ b/tests/scenarios/mesh.lua
@@ -26,7 +26,7 @@
 -- relays (routes traffic through the fake network), services (assigned to the VMs round robin),
 -- rate and burst (of each team), platform (further arguments of the fake platform), backend (further
 -- arguments of the fake backend servers), backend_program (instead of the fake backend server),
--- max_body_bytes and memory_mb (of the nodes), platform_address_of (function from a VM to the address at
+-- max_body_bytes, memory_mb and link_mbps (of the nodes), platform_address_of (function from a VM to the address at
 -- which its node reaches the platform), timeout_ms (of the keyed routes), drain_timeout_ms
 function new_mesh(options)
   local mesh = setmetatable({ options = options, vms = {}, version = 0, document = nil }, Mesh)
@@ -145,7 +145,8 @@
                self.platform,
     seeds = #seeds > 0 and seeds or nil, peer_key = "a secret of all nodes",
     max_body_bytes = self.options.max_body_bytes or 1048576,
-    memory_mb = self.options.memory_mb, drain_timeout_ms = self.options.drain_timeout_ms or 10000,
+    memory_mb = self.options.memory_mb, link_mbps = self.options.link_mbps,
+    drain_timeout_ms = self.options.drain_timeout_ms or 10000,
   }
 end
 
@@ -367,6 +368,11 @@
         path = "/delay?from=" .. first .. "&to=" .. second .. "&ms=" .. ms }
 end
 
+-- Bounds the rate of what the nodes at a group of addresses receive from others; 0 ends the bound.
+function Mesh:set_rate(target, mbps)
+  http{ address = "127." .. self.base .. ".0.1:8600", path = "/rate?to=" .. target .. "&mbps=" .. mbps }
+end
+
 -- Returns the address prefix of a failure domain, for set_partition.
 function Mesh:address_prefix(domain)
   return "127." .. (self.base + domain) .. "."
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -2,7 +2,8 @@
 ///
 /// Each --link LISTEN=TARGET forwards connections. /cut and /heal start and end a partition between
 /// two groups of addresses: it stops the bytes in both directions and keeps the connections open.
-/// /reset resets the open connections between them, /delay holds back their bytes by a time.
+/// /reset resets the open connections between them, /delay holds back their bytes by a time, /rate
+/// bounds the bytes to a group of addresses from all others together.
 
 #include "../../src/adapters/connection/http_server.hpp"
 #include "../../src/adapters/process/line_log.hpp"
@@ -25,6 +26,14 @@
 
 constexpr std::size_t kChunkBytes = 64U << 10U;
 
+/// The link of a group of addresses, which the connections to them share equally.
+struct Link
+{
+  double bytesPerSecond_ = 0;
+  double share_ = 0; ///< bytes that each connection may forward in this turn
+  TimePoint updatedAt_;
+};
+
 /// One direction of a forwarded connection.
 struct Pipe
 {
@@ -111,6 +120,16 @@
     }
   }
 
+  /// \brief Bounds the rate of the bytes to a group of addresses; zero ends the bound.
+  void SetRate(const std::string& aTarget, double aBytesPerSecond)
+  {
+    links_.erase(aTarget);
+    if (aBytesPerSecond > 0) {
+      links_.emplace(aTarget,
+                     Link{ .bytesPerSecond_ = aBytesPerSecond, .updatedAt_ = clock_.Now() });
+    }
+  }
+
   /// \brief Resets the open connections from one group of addresses to another.
   void ResetConnections(const std::string& aSource, const std::string& aTarget)
   {
@@ -130,11 +149,18 @@
   /// \brief Forwards pending bytes of all connections and closes those that ended.
   void ForwardAll()
   {
+    for (auto& connection : connections_) {
+      if (!IsPartitioned(connection)) {
+        const auto delay = FindDelay(connection);
+        Receive(connection.clientToServer_, delay);
+        Receive(connection.serverToClient_, delay);
+      }
+    }
+    UpdateAllowances();
     for (auto connection = connections_.begin(); connection != connections_.end();) {
       if (!IsPartitioned(*connection)) {
-        const auto delay = FindDelay(*connection);
-        Forward(connection->clientToServer_, delay);
-        Forward(connection->serverToClient_, delay);
+        Send(connection->clientToServer_, FindLink(*connection));
+        Send(connection->serverToClient_, nullptr);
       }
       const bool ended = connection->clientToServer_.ended_ || connection->serverToClient_.ended_;
       connection = ended ? Close(connection) : std::next(connection);
@@ -219,7 +245,38 @@
     return !aPipe.buffer_.empty() || !aPipe.delayed_.empty();
   }
 
-  void Forward(Pipe& aPipe, Duration aDelay) const
+  Link* FindLink(const Connection& aConnection)
+  {
+    for (auto& [target, link] : links_) {
+      if (Matches(aConnection, "", target)) {
+        return &link;
+      }
+    }
+    return nullptr;
+  }
+
+  /// Shares out what each link with a bound forwards in this turn.
+  void UpdateAllowances()
+  {
+    constexpr std::chrono::milliseconds kPeriod{ 4 }; // shorter than a wait of the main loop
+    constexpr double kMaxSeconds = 0.01;
+    const auto now = clock_.Now();
+    for (auto& [target, link] : links_) {
+      link.share_ = 0;
+      if (now - link.updatedAt_ < kPeriod) {
+        continue;
+      }
+      const std::chrono::duration<double> elapsed = now - std::exchange(link.updatedAt_, now);
+      const auto waiting =
+        std::count_if(connections_.begin(), connections_.end(), [&](const Connection& aConnection) {
+          return FindLink(aConnection) == &link && HasBacklog(aConnection.clientToServer_);
+        });
+      link.share_ = link.bytesPerSecond_ * std::min(elapsed.count(), kMaxSeconds) /
+                    static_cast<double>(std::max<std::ptrdiff_t>(waiting, 1));
+    }
+  }
+
+  void Receive(Pipe& aPipe, Duration aDelay) const
   {
     const auto now = clock_.Now();
     std::array<char, kChunkBytes> chunk{};
@@ -239,8 +296,15 @@
       break;
     }
     MoveDueBytes(aPipe, now);
-    const auto sent =
-      send(aPipe.to_, aPipe.buffer_.data(), aPipe.buffer_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
+
+  /// \param aLink Null if the rate has no bound.
+  static void Send(Pipe& aPipe, const Link* aLink)
+  {
+    const auto bytes = aPipe.buffer_.size();
+    const auto size =
+      aLink == nullptr ? bytes : std::min(bytes, static_cast<std::size_t>(aLink->share_));
+    const auto sent = send(aPipe.to_, aPipe.buffer_.data(), size, MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0) {
       aPipe.buffer_.erase(0, static_cast<std::size_t>(sent));
     }
@@ -269,6 +333,7 @@
   std::list<Connection> connections_;
   std::set<std::pair<std::string, std::string>> partitions_;
   std::map<std::pair<std::string, std::string>, Duration> delays_;
+  std::map<std::string, Link> links_; ///< with a bound, by target
 };
 
 } // namespace
@@ -300,6 +365,10 @@
                    const auto target = QueryParameter(aRequest.path_, "to");
                    if (aRequest.path_.starts_with("/reset")) {
                      relay.ResetConnections(source, target);
+                   } else if (aRequest.path_.starts_with("/rate")) {
+                     constexpr double kBytesPerMegabit = 125'000;
+                     const auto rate = std::stod(QueryParameter(aRequest.path_, "mbps"));
+                     relay.SetRate(target, rate * kBytesPerMegabit);
                    } else if (aRequest.path_.starts_with("/delay")) {
                      const auto delay = std::stoi(QueryParameter(aRequest.path_, "ms"));
                      relay.SetDelay(source, target, std::chrono::milliseconds(delay));
