--- a/include/geraniumpin/process/entry_service.hpp
+++ b/include/geraniumpin/process/entry_service.hpp
@@ -3,6 +3,7 @@
 #include "geraniumpin/connection/config_watch.hpp"
 #include "geraniumpin/process/call_tokens.hpp"
 #include "geraniumpin/process/entry_admission.hpp"
+#include "geraniumpin/process/entry_log.hpp"
 #include "geraniumpin/process/hedging.hpp"
 #include "geraniumpin/process/instance_load_table.hpp"
 #include "geraniumpin/process/node_context.hpp"
@@ -28,14 +29,6 @@
   const RouteDecision decision_;
 };
 
-/// \brief Why a prepared request was refused, for the log.
-struct IntakeRefusal
-{
-  const std::uint32_t rank_ = 0;
-  const Duration waited_{}; ///< since its arrival
-  const double saturation_ = 0;
-};
-
 /// \brief Serves the requests of callers at their entry node.
 ///
 /// Authenticates a request, takes a token of its team, sends attempts to the owners of instances,
@@ -65,6 +58,7 @@
                TeamLimits<PortSet>& aLimits,
                const CallTokens& aTokens)
     : context_(aContext)
+    , log_(aContext)
     , limits_(aLimits)
     , tokens_(aTokens)
     , loadTable_(aContext.NodeSettings().BalancingMode())
@@ -110,7 +104,7 @@
                                       ComputeKeyDigest(aCall, tokenContext),
                                       aFreshness);
     if (!decision) {
-      WriteConfigRefusal(aCall, decision.error(), aReadState);
+      log_.WriteConfigRefusal(aCall, decision.error(), aReadState);
       Refuse(aCall, decision.error());
       return std::nullopt;
     }
@@ -136,7 +130,7 @@
   void RefuseOverloaded(const Call& aCall, const IntakeRefusal& aRefusal, Duration aRetryAfter)
   {
     const auto answer = Answer::WithoutContent(Outcome::NotRun, Reason::Overloaded, aRetryAfter);
-    WriteEnd(aCall, answer, nullptr, &aRefusal);
+    log_.WriteEnd(aCall, answer, nullptr, &aRefusal);
     context_.Ports().callers_.Reply(aCall.id_, answer);
   }
 
@@ -168,7 +162,7 @@
     auto& call = found->second;
     context_.GetMetrics().Count("calls_cancelled");
     const auto outcome = CancelAttempts(call);
-    WriteEnd(call.call_, Answer::WithoutContent(outcome, Reason::Cancelled), &call);
+    log_.WriteEnd(call.call_, Answer::WithoutContent(outcome, Reason::Cancelled), &call);
     Remove(found);
   }
 
@@ -517,7 +511,6 @@
 
   [[nodiscard]] const BackendServer* SelectInstance(EntryCall& aCall)
   {
-    const auto& decision = aCall.decision_;
     const auto candidates = FindCandidates(aCall);
     const auto bodyBytes = aCall.call_.body_ ? aCall.call_.body_->size() : 0;
     const auto choice = loadTable_.Choose(aCall.service_,
@@ -527,20 +520,7 @@
                                           context_.Now(),
                                           context_.Ports().random_);
     const auto* chosen = choice.chosen_;
-    context_.Write(LogEvent("route", Severity::Routine)
-                     .With("call", ToString(aCall.call_.id_))
-                     .With("request", aCall.call_.requestId_)
-                     .With("attempt", aCall.attempts_ + 1)
-                     .With("version", decision.snapshot_->Id().number_.revision_)
-                     .With("team", decision.team_)
-                     .With("route", decision.route_.name_)
-                     .With("waited_us", Microseconds(context_.Now() - aCall.call_.arrivedAt_))
-                     .With("remaining_us", Microseconds(aCall.deadline_ - context_.Now()))
-                     .With("candidates", choice.candidates_)
-                     .With("of", candidates.size())
-                     .With("spill_share", choice.spillOverShare_)
-                     .With("chosen", chosen == nullptr ? "none" : chosen->name_)
-                     .With("reason", chosen == nullptr ? "no_instance" : "less_loaded_of_two"));
+    log_.WriteRoute(aCall, choice, candidates.size());
     return chosen;
   }
 
@@ -760,22 +740,10 @@
     aCall.superseded_.reset();
   }
 
-  void WriteConfigRefusal(const Call& aCall, Reason aReason, const ReadState& aReadState)
-  {
-    context_.Write(LogEvent("config_refusal", Severity::Warning)
-                     .With("call", ToString(aCall.id_))
-                     .With("request", aCall.requestId_)
-                     .With("reason", ToString(aReason))
-                     .With("version", context_.Versions().CurrentId().number_.revision_)
-                     .With("platform_age_ms", Milliseconds(aReadState.platformAge_))
-                     .With("own_age_ms", Milliseconds(aReadState.ownAge_))
-                     .With("read_failing", aReadState.failing_));
-  }
-
   void Refuse(const Call& aCall, Reason aReason)
   {
     const auto answer = Answer::WithoutContent(Outcome::NotRun, aReason);
-    WriteEnd(aCall, answer, nullptr);
+    log_.WriteEnd(aCall, answer, nullptr);
     context_.Ports().callers_.Reply(aCall.id_, answer);
   }
 
@@ -799,7 +767,7 @@
                         : earlierMayHaveRun
                           ? Answer::WithoutContent(Outcome::Unknown, aLast.reason_)
                           : aLast;
-    WriteEnd(aCall.call_, answer, &aCall);
+    log_.WriteEnd(aCall.call_, answer, &aCall);
     if (answer.outcome_ == Outcome::NotRun && aCall.token_) {
       limits_.Refund(aCall.decision_.team_, *aCall.token_);
     }
@@ -807,46 +775,6 @@
     context_.Ports().callers_.Reply(id, answer);
   }
 
-  /// \brief Writes metrics and the log event of a finished request.
-  /// \param aAccepted Null if the request was refused on arrival.
-  /// \param aRefusal Null unless the request was refused for lack of capacity.
-  void WriteEnd(const Call& aCall,
-                const Answer& aAnswer,
-                const EntryCall* aAccepted,
-                const IntakeRefusal* aRefusal = nullptr)
-  {
-    const auto elapsed = context_.Now() - aCall.arrivedAt_;
-    context_.GetMetrics().Count("outcome_" + std::string(ToString(aAnswer.outcome_)));
-    if (aAnswer.reason_ != Reason::None) {
-      context_.GetMetrics().Count("reason_" + std::string(ToString(aAnswer.reason_)));
-    }
-    context_.GetMetrics().Record("call_ms", elapsed);
-    LogEvent event("call_end",
-                   aAnswer.outcome_ == Outcome::Answered ? Severity::Routine : Severity::Warning);
-    event.With("call", ToString(aCall.id_))
-      .With("request", aCall.requestId_)
-      .With("outcome", ToString(aAnswer.outcome_))
-      .With("reason", ToString(aAnswer.reason_))
-      .With("status", aAnswer.status_)
-      .With("us", Microseconds(elapsed));
-    if (aAccepted != nullptr) {
-      const bool sent = aAccepted->attempts_ > 0;
-      event.With("team", aAccepted->decision_.team_)
-        .With("route", aAccepted->decision_.route_.name_)
-        .With("owner", aAccepted->owner_.Text())
-        .With("attempts", aAccepted->attempts_)
-        .With("token_us", sent ? Microseconds(aAccepted->firstSentAt_ - aCall.arrivedAt_) : 0)
-        .With("queued_us", Microseconds(aAccepted->queueTime_))
-        .With("ran_us", Microseconds(aAccepted->instanceTime_));
-    }
-    if (aRefusal != nullptr) {
-      event.With("rank", aRefusal->rank_)
-        .With("waited_us", Microseconds(aRefusal->waited_))
-        .With("saturation", aRefusal->saturation_);
-    }
-    context_.Write(event);
-  }
-
   void StopWaiting(const EntryCall& aCall)
   {
     const auto found = waiting_.find(aCall.decision_.team_);
@@ -872,6 +800,7 @@
   }
 
   NodeContext<PortSet>& context_;
+  EntryLog<PortSet> log_;
   TeamLimits<PortSet>& limits_;
   const CallTokens& tokens_;
   bool acceptingStopped_ = false;
--- a/include/geraniumpin/process/node.hpp
+++ b/include/geraniumpin/process/node.hpp
@@ -3,7 +3,9 @@
 #include "geraniumpin/connection/link_delay.hpp"
 #include "geraniumpin/process/config_service.hpp"
 #include "geraniumpin/process/entry_service.hpp"
+#include "geraniumpin/process/explain.hpp"
 #include "geraniumpin/process/gossip_service.hpp"
+#include "geraniumpin/process/link_maintenance.hpp"
 #include "geraniumpin/process/link_traffic.hpp"
 #include "geraniumpin/process/node_saturation.hpp"
 #include "geraniumpin/process/node_status.hpp"
@@ -147,7 +149,7 @@
     owner_.OnTimer();
     offers_.OnTimer();
     DeliverLocalMessages();
-    MaintainLinks();
+    MaintainLinks(context_);
     // New requests come last: responses and the next steps of started work precede them.
     if (intake_.Held() > 0) {
       OnTurnEvent();
@@ -177,7 +179,9 @@
       saturation_ = saturation_.AfterTurn(inputs, context_.NodeSettings().Machine(), turn.endedAt_);
     }
     if (const auto longest = turnMonitor_.OnTurn(turn)) {
-      WriteLoopLag(*longest);
+      context_.Write(MakeLoopLagEvent(*longest, context_.Now())
+                       .With("entry_calls", entry_.InFlight())
+                       .With("owned_attempts", owner_.InFlight()));
     }
   }
 
@@ -283,29 +287,7 @@
     if (!decision) {
       return tl::make_unexpected(decision.error());
     }
-    const auto& service = decision->route_.destinations_.front().service_;
-    const auto candidates =
-      entry_.LoadTable().FindCandidates(*decision->snapshot_,
-                                        service,
-                                        decision->route_,
-                                        context_.GetMembership(),
-                                        context_.NodeSettings().FailureDomainName(),
-                                        {},
-                                        context_.Now());
-    const auto preferred = entry_.LoadTable().PreferLocalFailureDomain(service, candidates);
-    std::vector<ExplainedCandidate> explained;
-    explained.reserve(preferred.size());
-    for (const auto& candidate : preferred) {
-      explained.push_back(
-        { candidate.backendServer_->name_, candidate.local_, candidate.loadReport_.load_ });
-    }
-    const auto* chosen = ChooseInstance(preferred, 0, context_.Ports().random_);
-    return Explanation{ .version_ = decision->snapshot_->Id().number_.revision_,
-                        .route_ = decision->route_.name_,
-                        .team_ = decision->team_,
-                        .service_ = service,
-                        .candidates_ = explained,
-                        .chosen_ = chosen == nullptr ? "" : chosen->name_ };
+    return ExplainDecision(context_, entry_.LoadTable(), *decision);
   }
 
 private:
@@ -377,27 +359,6 @@
     }
   }
 
-  /// Replaces the connections of silent links, and sends what checks and confirms others.
-  void MaintainLinks()
-  {
-    const auto due = context_.Links().TakeDue(context_.Now());
-    for (const auto& silent : due.silent_) {
-      context_.Write(LogEvent("link_silent", Severity::Warning)
-                       .With("node", silent.peer_.Text())
-                       .With("waited_ms", Milliseconds(silent.waited_)));
-      context_.ReplaceConnection(silent.peer_);
-      if (silent.isAnnounced_) {
-        context_.Send(silent.peer_, Heartbeat{});
-      }
-    }
-    for (const auto& peer : due.unchecked_) {
-      context_.Send(peer, Heartbeat{});
-    }
-    for (const auto& peer : due.unconfirmed_) {
-      context_.Send(peer, LinkAck{});
-    }
-  }
-
   void OnTurnEvent()
   {
     if (turnStartedAt_ == TimePoint{}) {
@@ -408,20 +369,6 @@
     }
   }
 
-  void WriteLoopLag(const LoopTurn& aTurn)
-  {
-    context_.Write(LogEvent("loop_lag")
-                     .With("turn_us", Microseconds(aTurn.duration_))
-                     .With("ended_us_ago", Microseconds(context_.Now() - aTurn.endedAt_))
-                     .With("calls", aTurn.calls_)
-                     .With("messages", aTurn.messages_)
-                     .With("backend_ends", aTurn.backendEnds_)
-                     .With("platform_reads", aTurn.platformReads_)
-                     .With("versions", aTurn.versions_)
-                     .With("entry_calls", entry_.InFlight())
-                     .With("owned_attempts", owner_.InFlight()));
-  }
-
   void OnSnapshot(const Snapshot& aSnapshot)
   {
     ++turn_.versions_;
--- a/include/geraniumpin/process/owner_service.hpp
+++ b/include/geraniumpin/process/owner_service.hpp
@@ -7,6 +7,7 @@
 #include "geraniumpin/process/link_admission.hpp"
 #include "geraniumpin/process/node_context.hpp"
 #include "geraniumpin/process/own_instance.hpp"
+#include "geraniumpin/process/owner_log.hpp"
 #include "geraniumpin/process/pace_monitor.hpp"
 #include "geraniumpin/process/room_tracker.hpp"
 #include "geraniumpin/request/owned_attempt.hpp"
@@ -46,6 +47,7 @@
 
   OwnerService(NodeContext<PortSet>& aContext, CallTokens& aTokens)
     : context_(aContext)
+    , log_(aContext)
     , tokens_(aTokens)
     , admission_(1)
   {
@@ -111,7 +113,7 @@
       return;
     }
     if (const auto refusal = Check(aEnvelope, aRequest, aDelay)) {
-      WriteRefusal(id, aRequest, *refusal, aDelay);
+      log_.WriteRefusal(id, aRequest, *refusal, aDelay);
       Reply(
         aEnvelope.sender_, id, aRequest.route_, Answer::WithoutContent(Outcome::NotRun, *refusal));
       return;
@@ -141,7 +143,7 @@
   {
     const AttemptId id{ aRequest.id_, aRequest.attempt_ };
     room_.Record(aRequest.rank_, false, context_.Now());
-    WriteRefusal(id, aRequest, aAnswer.reason_, {});
+    log_.WriteRefusal(id, aRequest, aAnswer.reason_, {});
     Reply(aEntry, id, aRequest.route_, aAnswer);
   }
 
@@ -182,7 +184,7 @@
     const auto startedAt = found->second.startedAt_;
     context_.GetMetrics().Record("backend_ms", context_.Now() - startedAt);
     if (aEnd.result_ == BackendResult::Broken) {
-      WriteBroken(found->second, aEnd);
+      log_.WriteBroken(found->second, aEnd, instance_.Name());
     }
     UpdateAvailability(aEnd.result_);
     UpdateReplacement(found->second, aEnd.result_);
@@ -402,7 +404,7 @@
     const auto admitted = HasLinkCapacity(aRequest, aDelay)
                             ? admission_.Admit(work, now)
                             : tl::make_unexpected(Reason::Overloaded);
-    WriteAdmission(aId, aRequest, admitted, aDelay);
+    log_.WriteAdmission(aId, aRequest, admitted, aDelay, admission_);
     room_.Record(work.rank_, admitted.has_value(), now);
     if (!admitted) {
       const auto retryAfter = admission_.RetryAfter(work.rank_, now);
@@ -501,7 +503,7 @@
       EndAttempt(id, Answer::WithoutContent(Outcome::NotRun, Reason::DeadlinePassed));
     }
     for (const auto& id : aActions.start_) {
-      WriteDequeued(id);
+      log_.WriteDequeued(id, attempts_.at(id));
       Start(id);
     }
   }
@@ -586,69 +588,6 @@
     }
   }
 
-  void WriteRefusal(const AttemptId& aId,
-                    const CallRequest& aRequest,
-                    Reason aReason,
-                    Duration aDelay)
-  {
-    context_.Write(LogEvent("attempt_refused", Severity::Warning)
-                     .With("call", ToString(aId.call_))
-                     .With("request", aRequest.requestId_)
-                     .With("attempt", aId.attempt_)
-                     .With("team", aRequest.team_)
-                     .With("reason", ToString(aReason))
-                     .With("version", context_.Versions().CurrentId().number_.revision_)
-                     .With("delay_us", Microseconds(aDelay))
-                     .With("remaining_us", Microseconds(aRequest.remaining_)));
-  }
-
-  void WriteAdmission(const AttemptId& aId,
-                      const CallRequest& aRequest,
-                      const tl::expected<AdmissionResult, Reason>& aAdmitted,
-                      Duration aDelay)
-  {
-    const auto decision = !aAdmitted                             ? ToString(aAdmitted.error())
-                          : *aAdmitted == AdmissionResult::Start ? "start"
-                                                                 : "queued";
-    context_.Write(LogEvent("admission", aAdmitted ? Severity::Routine : Severity::Warning)
-                     .With("call", ToString(aId.call_))
-                     .With("request", aRequest.requestId_)
-                     .With("attempt", aId.attempt_)
-                     .With("team", aRequest.team_)
-                     .With("decision", decision)
-                     .With("version", context_.Versions().CurrentId().number_.revision_)
-                     .With("delay_us", Microseconds(aDelay))
-                     .With("remaining_us", Microseconds(aRequest.remaining_))
-                     .With("in_flight", admission_.InFlight())
-                     .With("queued", admission_.Queued())
-                     .With("limit", admission_.Limit())
-                     .With("cold", admission_.SlowStart().IsCold(context_.Now()))
-                     .With("patience_us", Microseconds(aRequest.queueTimeout_)));
-  }
-
-  void WriteBroken(const OwnedAttempt& aAttempt, const BackendCompletion& aEnd)
-  {
-    context_.Write(LogEvent("exchange_broken", Severity::Warning)
-                     .With("call", ToString(aEnd.id_.call_))
-                     .With("request", aAttempt.request_.requestId_)
-                     .With("attempt", aEnd.id_.attempt_)
-                     .With("instance", instance_.Name())
-                     .With("detail", aEnd.detail_)
-                     .With("us", Microseconds(context_.Now() - aAttempt.startedAt_)));
-  }
-
-  void WriteDequeued(const AttemptId& aId)
-  {
-    const auto& attempt = attempts_.at(aId);
-    const auto now = context_.Now();
-    context_.Write(LogEvent("dequeued", Severity::Routine)
-                     .With("call", ToString(aId.call_))
-                     .With("request", attempt.request_.requestId_)
-                     .With("attempt", aId.attempt_)
-                     .With("queued_us", Microseconds(now - attempt.arrivedAt_))
-                     .With("remaining_us", Microseconds(attempt.deadline_ - now)));
-  }
-
   [[nodiscard]] static WorkResult ClassifyEnd(const BackendCompletion& aEnd) noexcept
   {
     if (aEnd.result_ == BackendResult::OtherInstance) {
@@ -692,6 +631,7 @@
   }
 
   NodeContext<PortSet>& context_;
+  OwnerLog<PortSet> log_;
   CallTokens& tokens_;
   Admission<AttemptId, InstanceController> admission_;
   std::string service_;
--- a/include/geraniumpin/process/turn_monitor.hpp
+++ b/include/geraniumpin/process/turn_monitor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "geraniumpin/process/clock.hpp"
+#include "geraniumpin/process/log_event.hpp"
 
 #include <algorithm>
 #include <compare>
@@ -24,6 +25,10 @@
   auto operator<=>(const LoopTurn&) const = default;
 };
 
+/// \brief Makes the log event of a slow turn.
+[[nodiscard]] LogEvent
+MakeLoopLagEvent(const LoopTurn& aTurn, TimePoint aNow);
+
 /// \brief Reports the longest turn of the event loop, once a period and only if it was slow.
 class TurnMonitor
 {
