Check held bodies only when the statement of a peer changes

Each message of a peer states the size from which it wants bodies offered, and each one made BodyHolder look at all messages that it held. It now looks only when the size of that peer is new or another one.

--- a/src/connection/body_holder.cpp
+++ b/src/connection/body_holder.cpp
@@ -52,10 +52,13 @@
 BodyHolder::OnPeer(const NodeAddress& aPeer, std::uint64_t aOfferMinBytes)
 {
   lastOfferMinBytes_ = aOfferMinBytes > 0 ? aOfferMinBytes : lastOfferMinBytes_;
-  auto& known = offerMinBytes_.emplace(aPeer, aOfferMinBytes).first->second;
-  known = aOfferMinBytes;
+  const auto [known, isNew] = offerMinBytes_.emplace(aPeer, aOfferMinBytes);
+  if (!isNew && known->second == aOfferMinBytes) {
+    return;
+  }
+  known->second = aOfferMinBytes;
   for (auto& [id, held] : held_) {
-    const bool needsOffer = known > 0 && held.bytes_ >= known;
+    const bool needsOffer = aOfferMinBytes > 0 && held.bytes_ >= aOfferMinBytes;
     if (held.peer_ == aPeer && !needsOffer) {
       MakeReady(id, held);
     }
