Count the grace period of removed instances from the return of the platform

A node whose reads had failed for 10 s regained the platform 3.7 s after other nodes had, took its own late answer for the return after an outage, held an instance that the others had removed, and published it again under an interim number.

PlatformContact now states when the outage ended, by the first answer to any node that is known, and the grace of 2 s counts from then: an entry that is missing after it is gone.

expiry_grace_test failed before (a node that regains the platform late) and passes; platform_reader_test passes.

--- a/include/geraniumpin/process/platform_contact.hpp
+++ b/include/geraniumpin/process/platform_contact.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace geraniumpin {
 
@@ -28,7 +29,7 @@
   {
     sentAt_ = aNow;
     if (!aIsFailing) {
-      longestGap_ = {};
+      outageEndedAt_.reset();
     }
   }
 
@@ -47,23 +48,30 @@
     if (aFollowsRestores) {
       followed_ = followed_.AfterReportedAge(aAge, aNow);
     }
-    longestGap_ = std::max(longestGap_, any_.Age(aNow));
+    const bool endsOutage = any_.Age(aNow) >= kExpiryOutage && aAge < kExpiryOutage;
+    outageEndedAt_ = endsOutage ? aNow : outageEndedAt_;
     any_ = any_.AfterReportedAge(aAge, aNow);
   }
 
-  /// \brief Returns true if an answer that arrives now may follow an outage of the platform: for
-  /// that time no node is known to have had one. A node that did not read, or whose own answer was
-  /// lost, learns of the answers to others.
+  /// \brief Returns when the outage of the platform ended that an answer that arrives now may
+  /// follow: before that time no node is known to have had one. A node that did not read, or whose
+  /// own answer was lost, learns of the answers to others.
   ///
   /// \param aIsFailing Whether the read before failed.
   ///
   /// \param aWatchWait Time in which a watch waits for changes, which is no silence.
-  [[nodiscard]] bool MayFollowOutage(bool aIsFailing,
-                                     Duration aWatchWait,
-                                     TimePoint aNow) const noexcept
+  ///
+  /// \returns Nothing if the answer follows no outage.
+  [[nodiscard]] std::optional<TimePoint> FindOutageEnd(bool aIsFailing,
+                                                       Duration aWatchWait,
+                                                       TimePoint aNow) const noexcept
   {
-    return aIsFailing ? std::max(longestGap_, any_.Age(aNow)) >= kExpiryOutage
-                      : any_.Age(sentAt_) >= kExpiryOutage + aWatchWait;
+    const bool endsNow = aIsFailing ? any_.Age(aNow) >= kExpiryOutage
+                                    : any_.Age(sentAt_) >= kExpiryOutage + aWatchWait;
+    if (endsNow) {
+      return aNow;
+    }
+    return aIsFailing ? outageEndedAt_ : std::nullopt;
   }
 
   [[nodiscard]] TimePoint SentAt() const noexcept { return sentAt_; }
@@ -79,7 +87,8 @@
   LastContact followed_; ///< by a node that notices when the platform is restored
   TimePoint ownAt_;
   TimePoint sentAt_;
-  Duration longestGap_{}; ///< between answers to any node, since a read did not follow a failure
+  /// When a peer reported the first answer after an outage, since a read did not follow a failure.
+  std::optional<TimePoint> outageEndedAt_;
 };
 
 } // namespace geraniumpin
--- a/include/geraniumpin/process/platform_items.hpp
+++ b/include/geraniumpin/process/platform_items.hpp
@@ -4,6 +4,7 @@
 #include "geraniumpin/version/document_assembly.hpp"
 #include "geraniumpin/version/in_force.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,7 +34,8 @@
 class PlatformItems
 {
 public:
-  /// Time in which an instance that runs is back in a platform that has lost its entry.
+  /// Time from the return of the platform in which an instance that runs is back in it if it has
+  /// lost its entry.
   static constexpr std::chrono::milliseconds kMissingGrace{ 2000 };
   /// Time in which an instance that runs writes its entry again, and the entry of one that does not
   /// run expires, if the copy has an entry that is known to be out of date.
@@ -50,7 +52,11 @@
 
   /// \brief Holds instances that the platform removes until kMissingGrace has passed: they can be
   /// entries that expired while the platform was away.
-  void BeginExpiryGrace(TimePoint aNow) { expiryGraceEndsAt_ = aNow + kMissingGrace; }
+  /// \param aReturnedAt When the platform was back, for this node or another one.
+  void BeginExpiryGrace(TimePoint aReturnedAt)
+  {
+    expiryGraceEndsAt_ = std::max(expiryGraceEndsAt_, aReturnedAt + kMissingGrace);
+  }
 
   /// \brief Adds an item or replaces the one with that key, or holds what is in force instead.
   void Put(const std::string& aKey, DecodedItem aItem, ItemOrigin aOrigin, TimePoint aNow);
--- a/include/geraniumpin/process/platform_reader.hpp
+++ b/include/geraniumpin/process/platform_reader.hpp
@@ -222,8 +222,8 @@
                        .With("revision", aRead.revision_)
                        .With("silent_ms", Milliseconds(contact_.OwnAge(now))));
     }
-    if (contact_.MayFollowOutage(failing_, timing_.watchWait_, now)) {
-      content_.Items().BeginExpiryGrace(now);
+    if (const auto end = contact_.FindOutageEnd(failing_, timing_.watchWait_, now)) {
+      content_.Items().BeginExpiryGrace(*end);
     }
     failing_ = false;
     contact_.OnAnswer(now);
