--- a/tests/process/link_overload_test.cpp
+++ b/tests/process/link_overload_test.cpp
@@ -93,13 +93,14 @@
   std::uint64_t version = 2;
   for (Duration at = kVersionInterval; at < kDuration; at += kVersionInterval) {
     aMesh.At(at, [&] { aMesh.Publish(Encode(MakeUploadDocument(++version))); });
-    aMesh.At(at + kApplyBound, [&, expected = version + at / kVersionInterval] {
-      for (const auto& node : aNodes) {
-        const bool isLate =
-          aMesh.At(node).Status().version_.number_.document_ < static_cast<std::uint64_t>(expected);
-        load.lateVersions_ += isLate ? 1 : 0;
-      }
-    });
+    aMesh.At(at + kApplyBound,
+             [&, expected = version + static_cast<std::uint64_t>(at / kVersionInterval)] {
+               for (const auto& node : aNodes) {
+                 const bool isLate = aMesh.At(node).Status().version_.number_.document_ <
+                                     static_cast<std::uint64_t>(expected);
+                 load.lateVersions_ += isLate ? 1 : 0;
+               }
+             });
   }
   aMesh.Run(kDuration + milliseconds(4000));
   return load;
@@ -120,6 +121,7 @@
 SendUploads(FakeMesh& aMesh, const NodeAddress& aNode, int aCount)
 {
   std::vector<CallId> ids;
+  ids.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     ids.push_back(aMesh.Call(aNode, "small", "POST", "/orders/1", std::string(kUploadBytes, 'x')));
   }
@@ -229,8 +231,10 @@
   UseNarrowLinks(mesh);
   StartAll(mesh, kSize);
   mesh.answerPadding_ = kUploadBytes;
+  constexpr int kCalls = 15;
   std::vector<CallId> ids;
-  for (int i = 0; i < 15; ++i) {
+  ids.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
     ids.push_back(mesh.Call(kReceiver, "", "GET", "/public/1", ""));
   }
   mesh.Run(milliseconds(1500));
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -261,7 +261,8 @@
     constexpr std::chrono::milliseconds kPeriod{ 4 }; // shorter than a wait of the main loop
     constexpr double kMaxSeconds = 0.01;
     const auto now = clock_.Now();
-    for (auto& [target, link] : links_) {
+    for (auto& entry : links_) {
+      auto& link = entry.second;
       link.share_ = 0;
       if (now - link.updatedAt_ < kPeriod) {
         continue;
