--- a/tests/scenarios/scenario_narrow_link.lua
+++ b/tests/scenarios/scenario_narrow_link.lua
@@ -8,7 +8,7 @@
 local SECONDS = 8
 local APPLY_BOUND_MS = 2000
 
-local mesh = new_mesh{ base = 25, domains = 1, vms = 6, relays = true, link_mbps = LINK_MBPS,
+local mesh = new_mesh{ base = 11, domains = 1, vms = 6, relays = true, link_mbps = LINK_MBPS,
                        rate = 5000, burst = 5000, timeout_ms = 2500,
                        services = { "arquivo", "laudos", "laudos", "laudos", "laudos", "laudos" } }
 
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -271,6 +271,21 @@
   end)
 end
 
+-- Lowers the rate of what a node receives, below what its settings state.
+function faults.narrow(soak, step)
+  local mesh, vm = soak.mesh, soak:vm_of(step)
+  local ends_fault = soak:disturb(vm)
+  vm.narrow = (vm.narrow or 0) + 1
+  mesh:set_rate(vm.ip, 1 + step.number % 4)
+  soak:after(step.duration, function()
+    vm.narrow = vm.narrow - 1
+    if vm.narrow == 0 then
+      mesh:set_rate(vm.ip, mesh.options.link_mbps or 0)
+    end
+    ends_fault()
+  end)
+end
+
 function faults.platform(soak, step)
   local mode = ({ "down", "slow", "stale" })[step.number % 3 + 1]
   soak.platform_step = step
@@ -658,15 +673,21 @@
 
 -- Runs the schedule of the seed on a mesh under load and fails if a check does.
 -- options: base (of the mesh), weights (of the faults, by default WEIGHTS), without_restore (set of the
--- seeds without restores of the platform)
+-- seeds without restores of the platform), link_mbps (of each node, 0: no bound), load_per_s and
+-- body_bytes (of each of the three loads)
 function run_soak(options)
   local timeout_ms, drain_timeout_ms = table.unpack(TIMEOUTS[(SEED - 1) % #TIMEOUTS + 1])
   local mesh = new_mesh{ base = options.base, vms = VMS, rate = 5000, burst = 5000, relays = true,
                          timeout_ms = timeout_ms, drain_timeout_ms = drain_timeout_ms,
+                         link_mbps = options.link_mbps,
                          platform = SEED // 2 % 2 == 0 and { "--era", "1" } or {},
                          backend = { "--service-us", "5000", "--log-runs" } }
   mesh.options.platform_address_of = function(vm) return mesh:platform_address(vm) end
   mesh:start()
+  for _, vm in ipairs(options.link_mbps and mesh.vms or {}) do
+    mesh:set_rate(vm.ip, options.link_mbps)
+  end
+  local load_per_s = options.load_per_s or 150
   local soak = new_soak(mesh, { steps = STEPS, vms = VMS, weights = options.weights,
                                 without_restore = options.without_restore })
 
@@ -674,8 +695,8 @@
   local entry_vms = { mesh:vm("vm-1-1"), mesh:vm("vm-2-1"), mesh:vm("vm-3-1") }
   for i, vm in ipairs(entry_vms) do
     mesh:start_load("load-" .. i, vm, "obra",
-              { "--method", "POST", "--path", "/laudos/", "--body-bytes", 200,
-                "--count", soak.duration_ms * 150 // 1000, "--rate", 150, "--concurrency", 200,
+              { "--method", "POST", "--path", "/laudos/", "--body-bytes", options.body_bytes or 200,
+                "--count", soak.duration_ms * load_per_s // 1000, "--rate", load_per_s, "--concurrency", 200,
                 "--tag-prefix", "order-" .. i .. "-" })
   end
   mesh:start_clients("clients", mesh.vms, "obra",
