--- a/include/geraniumpin/process/node_context.hpp
+++ b/include/geraniumpin/process/node_context.hpp
@@ -69,7 +69,9 @@
   }
 
   /// \brief Sends a CallRequest or CallReply; if the peer wants its body offered, sends an offer
-  /// and holds the message. \param aExpiresAt As in BodyHolder::Hold.
+  /// and holds the message.
+  ///
+  /// \param aExpiresAt As in BodyHolder::Hold.
   void SendOrOffer(const NodeAddress& aPeer, const Payload& aMessage, TimePoint aExpiresAt)
   {
     const auto offer =
